Read callers' uploads in small pieces

Cause: uvloop hands 250 KiB at once to the streams of asyncio (256,130 bytes were seen in one reader), and hypercorn holds further pieces of 64 KiB.

--- a/egrethall/ingress/_server.py
+++ b/egrethall/ingress/_server.py
@@ -1,26 +1,23 @@
 """The HTTP server for callers, and its graceful stop."""
 
-import asyncio
-import os
 import socket
 from dataclasses import dataclass
 from pathlib import Path
 from typing import cast
 
 import anyio
-import anyio.lowlevel
-import hypercorn.asyncio
 from anyio.abc import TaskStatus
 from hypercorn.config import Config
 from hypercorn.typing import ASGIFramework
 
 from egrethall.ingress._application import IngressApplication
+from egrethall.ingress._connection_server import serve_connections
 
 #: Connections that wait in the kernel to be accepted.
 LISTEN_BACKLOG = 1024
 
-#: Messages of a request body that the server holds for a call. The server reads at
-#: most 64 KiB at a time, so that this stays within the bound of section 5.7.
+#: Messages of a request body that the server holds for a call. One is at most three
+#: reads long, so that this stays within the bound of section 5.7.
 MAX_QUEUED_MESSAGES = 1
 
 #: Bounds of the server on the head of a request, above those of the application so
@@ -69,10 +66,7 @@
     """
     listener = _open_listener(settings, application.caller_idle_seconds)
     port: int = listener.getsockname()[1]
-    # The server closes its copy of the descriptor.
-    config = _build_config(
-        settings, os.dup(listener.fileno()), application.caller_idle_seconds
-    )
+    config = _build_config(settings, application.caller_idle_seconds)
 
     async def wait_for_stop() -> None:
         await stop_requested.wait()
@@ -90,25 +84,14 @@
         )
 
     task_status.started(port)
-    try:
-        with listener:
-            await hypercorn.asyncio.serve(
-                cast(ASGIFramework, application),
-                config,
-                shutdown_trigger=wait_for_stop,
-                mode="asgi",
-            )
-    except asyncio.InvalidStateError:
-        # Hypercorn 0.18 raises this when it is cancelled while it waits for calls.
-        await anyio.lowlevel.checkpoint()
-        raise
-
-
-def _build_config(
-    settings: CallerServerSettings, descriptor: int, idle_seconds: float
-) -> Config:
+    with listener:
+        await serve_connections(
+            cast(ASGIFramework, application), config, listener.dup(), wait_for_stop
+        )
+
+
+def _build_config(settings: CallerServerSettings, idle_seconds: float) -> Config:
     config = Config()
-    config.bind = [f"fd://{descriptor}"]
     config.accesslog = None
     config.errorlog = None
     config.include_server_header = False
