Ask no upstream twice for one request, and keep one policy of hedges

Cause: the second round of probes excluded only upstreams that had answered, so that one that hangs could be asked again (entry/tests/placer fails first: u-0 asked twice in a round of five). The race and the hedger built a policy each.

--- a/egrethall/entry/_hedger.py
+++ b/egrethall/entry/_hedger.py
@@ -28,7 +28,7 @@
         self._budget = budget
         self._crashes = crashes
         self._clock = clock
-        self._policy = HedgePolicy()
+        self.policy = HedgePolicy()
 
     async def place(
         self, request: AdmittedRequest, state: UpstreamState, sent: int
@@ -42,7 +42,7 @@
             return None
         elapsed_seconds = self._clock.monotonic_seconds() - request.received_at_seconds
         look = await self._prober.look(state, request.service.health_path)
-        if not self._policy.wants_hedge(
+        if not self.policy.wants_hedge(
             elapsed_seconds,
             request.route.objective_seconds,
             None if look is None else look.reading,
@@ -65,7 +65,7 @@
         if not request.repeatable or sent >= request.route.max_attempts:
             return False
         left_seconds = request.deadline_at_seconds - self._clock.monotonic_seconds()
-        if not self._policy.has_time(left_seconds, request.route.objective_seconds):
+        if not self.policy.has_time(left_seconds, request.route.objective_seconds):
             return False
         if not self._budget.has_token(request.service.name):
             return False
--- a/egrethall/entry/_placer.py
+++ b/egrethall/entry/_placer.py
@@ -142,12 +142,11 @@
         self, request: PlacementRequest, probes: ProbeRound, count: int, far: int
     ) -> None:
         """Probes ``count`` more upstreams and waits for what is worth waiting for."""
-        known = {probe.state.name for probe in probes.probes}
         states = self._table.choose_candidates(
             request.service.name,
             self._own_zone,
             count,
-            request.excluded | known,
+            request.excluded | probes.asked,
             other_zones=far,
         )
         if not states:
--- a/egrethall/entry/_prober.py
+++ b/egrethall/entry/_prober.py
@@ -50,6 +50,8 @@
 
     def __init__(self) -> None:
         self.probes: list[Probe] = []
+        #: Names of the upstreams that were asked, whether they have answered or not.
+        self.asked: set[str] = set()
         #: Probes that have not ended.
         self.pending = 0
         self._changed = anyio.Event()
@@ -100,6 +102,7 @@
         """Starts probes of ``states`` whose results come into a round."""
         for state in states:
             into.pending += 1
+            into.asked.add(state.name)
             self._tasks.start_soon(self._run, state, health_path, into)
 
     async def _run(
--- a/egrethall/entry/_race.py
+++ b/egrethall/entry/_race.py
@@ -18,12 +18,16 @@
     """Runs one attempt and at most one hedge; the first good answer wins."""
 
     def __init__(
-        self, request: AdmittedRequest, attempt: Attempt, place_hedge: HedgePlacer
+        self,
+        request: AdmittedRequest,
+        attempt: Attempt,
+        place_hedge: HedgePlacer,
+        policy: HedgePolicy,
     ) -> None:
         self._request = request
         self._attempt = attempt
         self._place_hedge = place_hedge
-        self._policy = HedgePolicy()
+        self._policy = policy
         self._changed = anyio.Event()
         self._started = 0
         #: The attempts that ended, in their order. A loser that was cancelled is not
--- a/egrethall/entry/_sender.py
+++ b/egrethall/entry/_sender.py
@@ -81,7 +81,12 @@
                 probe = await self._place(request, frozenset(progress.excluded))
             except RefusedError as error:
                 return self._conclude_unplaced(progress, error)
-            race = AttemptRace(request, self._exchange.attempt, self._hedger.place)
+            race = AttemptRace(
+                request,
+                self._exchange.attempt,
+                self._hedger.place,
+                self._hedger.policy,
+            )
             outcome = await race.run(probe, progress.may_have_run)
             if outcome.result is SendResult.ANSWERED and outcome.answer is not None:
                 if progress.fingerprint is not None:
--- a/egrethall/entry/tests/steps/race_steps.py
+++ b/egrethall/entry/tests/steps/race_steps.py
@@ -5,6 +5,7 @@
 
 from egrethall.entry._race import AttemptRace
 from egrethall.entry._request import SendOutcome, SendResult
+from egrethall.placement import HedgePolicy
 
 RESULTS = {"answers": SendResult.ANSWERED, "breaks": SendResult.BROKEN}
 
@@ -42,9 +43,10 @@
             route = SimpleNamespace(objective_seconds=OBJECTIVE_SECONDS)
             request = SimpleNamespace(repeatable=repeatable, route=route)
             probe = SimpleNamespace(state=SimpleNamespace(name="u-0"))
-            return await AttemptRace(request, self.attempt, self.place_hedge).run(
-                probe, 0
+            contest = AttemptRace(
+                request, self.attempt, self.place_hedge, HedgePolicy()
             )
+            return await contest.run(probe, 0)
 
         return anyio.run(race)
 
