Leave reading to others for two seconds after the start

Cause: on a site of 141 machines an instance has not heard of two readers of its zone in its first rounds and makes a call of its own to the store, 141 calls at each start.

--- a/egrethall/entry/_daemon.py
+++ b/egrethall/entry/_daemon.py
@@ -129,6 +129,7 @@
             self._allowances,
             self._crashes,
             is_leaving=lambda: self._serving.phase is not Serving.RUNNING,
+            clock=self._clock,
         )
 
     async def run(self) -> None:
--- a/egrethall/entry/_peer_links.py
+++ b/egrethall/entry/_peer_links.py
@@ -20,7 +20,7 @@
     SourceStatus,
     is_reader,
 )
-from egrethall.types import Record, RecordSourceError
+from egrethall.types import Clock, Record, RecordSourceError
 
 #: Time that the own watch gets before records are read from another instance.
 OWN_WATCH_SECONDS = 0.4
@@ -42,6 +42,7 @@
         allowances: FleetAllowances,
         crashes: CrashGuard,
         is_leaving: Callable[[], bool],
+        clock: Clock,
     ) -> None:
         self._settings = settings
         self._run = run
@@ -52,6 +53,8 @@
         self._allowances = allowances
         self._crashes = crashes
         self._is_leaving = is_leaving
+        self._clock = clock
+        self._started_at_seconds = clock.monotonic_seconds()
         self._exchange = FleetExchange(
             settings.peer_address,
             members,
@@ -76,8 +79,11 @@
             self._exchange.announce()
 
     def _begin_round(self) -> frozenset[str] | None:
-        readers = self._members.find_readers(self._settings.availability_zone)
-        self._follower.set_reading(is_reader(self._settings.name, readers))
+        near, far = self._members.find_readers(self._settings.availability_zone)
+        age_seconds = self._clock.monotonic_seconds() - self._started_at_seconds
+        self._follower.set_reading(
+            is_reader(self._settings.name, near, far, age_seconds)
+        )
         self._allowances.begin_round(
             self._members.find_known(),
             self._members.find_silent(),
--- a/egrethall/fleet/_members.py
+++ b/egrethall/fleet/_members.py
@@ -154,16 +154,18 @@
             if now_seconds - member.heard_at_seconds > limit_seconds
         )
 
-    def find_readers(self, zone: str) -> list[str]:
-        """Returns the names of the other instances of a zone that read the store."""
+    def find_readers(self, zone: str) -> tuple[list[str], list[str]]:
+        """Returns the names of the other instances that read the store.
+
+        The first list has those of ``zone``, the second one those of other zones.
+        """
         silent = self.find_silent()
-        return [
-            member.name
-            for member in self._members.values()
-            if member.reading
-            and member.availability_zone == zone
-            and member.name not in silent
-        ]
+        near: list[str] = []
+        far: list[str] = []
+        for member in self._members.values():
+            if member.reading and member.name not in silent:
+                (near if member.availability_zone == zone else far).append(member.name)
+        return near, far
 
     def find_addresses(self, zone: str) -> list[str]:
         """Returns the addresses of the other instances of a zone."""
--- a/egrethall/records/tests/readers.feature
+++ b/egrethall/records/tests/readers.feature
@@ -14,6 +14,19 @@
       | c d      | a b c d |
       | none     | a b c d |
 
+  Scenario Outline: An instance that has just started leaves reading to others
+    Given instance x, which started <age> s ago and has heard of <heard>
+    Then reading is <task>
+
+    Examples:
+      | age | heard                | task           |
+      | 0.5 | nobody               | its own        |
+      | 0.5 | reader a of its zone | left to others |
+      | 0.5 | reader z of its zone | left to others |
+      | 0.5 | a reader elsewhere   | left to others |
+      | 2.5 | a reader elsewhere   | its own        |
+      | 2.5 | reader a of its zone | its own        |
+
   Scenario: A reader leaves the store to others and takes it up again
     When the source answers all:5 silence changes:7
     And the follower leaves reading to others and takes it up again
--- a/egrethall/records/tests/steps/reader_steps.py
+++ b/egrethall/records/tests/steps/reader_steps.py
@@ -39,6 +39,18 @@
     assert context.zone.reading == set(names.split()), context.zone.reading
 
 
+@given("instance x, which started {age:f} s ago and has heard of {heard}")
+def step_impl(context, age, heard):
+    near = {"reader a of its zone": ["a"], "reader z of its zone": ["z"]}
+    far = {"a reader elsewhere": ["a"]}
+    context.reads = is_reader("x", near.get(heard, []), far.get(heard, []), age)
+
+
+@then("reading is {task}")
+def step_impl(context, task):
+    assert context.reads == (task == "its own"), context.reads
+
+
 @when("the follower leaves reading to others and takes it up again")
 def step_impl(context):
     context.subject.leaves_and_returns = True
