--- a/egrethall/records/_follower.py
+++ b/egrethall/records/_follower.py
@@ -14,9 +14,9 @@
     RecordSourceError,
 )
 
-#: Pause between two calls, in which changes that come together are collected. A
-#: fifth of it would do for freshness; each call is paid for.
-COLLECT_SECONDS = 0.25
+#: Pause between two calls, in which changes that come together are collected. Each
+#: call is paid for, and a change must be in force two seconds after it was made.
+COLLECT_SECONDS = 0.4
 
 #: Time between two looks for records of other instances at the start.
 FIRST_LOOK_SECONDS = 0.02
