Set the shares of silent instances aside as they were before a cut

The share of a silent instance shrank as demand grew here, on both sides of the cut at once; the tokens that were left at the cut were spent on both sides; and an organisation that had been idle had no shares set aside at all. Now a silent instance keeps its part of rate, burst and tokens as it was a second before, evened out over some rounds, and what it did not use is given back when it is heard. Price: the last instance of a fleet is held to its old part for 30 s.

--- a/egrethall/quota/_allowance.py
+++ b/egrethall/quota/_allowance.py
@@ -1,6 +1,7 @@
 """The allowance of one organisation, as one instance sees it."""
 
-from dataclasses import dataclass
+from collections import deque
+from dataclasses import dataclass, field
 
 from egrethall.fleet import OrganisationUsage
 
@@ -28,6 +29,19 @@
 #: Part of an even share that an instance keeps although it reports no demand.
 MIN_SHARE_RATIO = 0.5
 
+#: Weight of a report in the steady demand, by which shares are set aside. Both sides
+#: of a cut must come to nearly the same shares, so it evens out a second's chance.
+STEADY_WEIGHT = 0.2
+
+#: Reports by which the steady demand lags. A silence is noticed two rounds after a cut,
+#: and what is asked behind the cut must not count.
+STEADY_LAG_REPORTS = 2
+
+#: Time for which the share of a silent instance stays as it was when it fell silent.
+#: Longer than a zone takes to come back. From then on the share shrinks as the demand
+#: here grows, so that the last instance of a fleet is not held to its old part.
+FIXED_SHARE_SECONDS = 30.0
+
 
 @dataclass(frozen=True)
 class AllowanceExcess:
@@ -44,6 +58,19 @@
         )
 
 
+class _SteadyDemand:
+    """Demand averaged over the reports up to a second ago."""
+
+    def __init__(self) -> None:
+        self.per_second = 0.0
+        self._latest: deque[float] = deque(maxlen=STEADY_LAG_REPORTS + 1)
+
+    def add(self, demand_per_second: float) -> None:
+        """Takes the report of one round."""
+        self._latest.append(demand_per_second)
+        self.per_second += STEADY_WEIGHT * (self._latest[0] - self.per_second)
+
+
 @dataclass
 class _PeerUsage:
     """What another instance has last reported."""
@@ -52,6 +79,11 @@
     period: int
     admitted: int
     demand_per_second: float
+    steady_demand: _SteadyDemand = field(default_factory=_SteadyDemand)
+    #: Clock reading at which it fell silent; None while it is heard.
+    silent_at_seconds: float | None = None
+    #: Part of the allowance that is set aside for it while it is silent.
+    share: float = 0.0
     #: Tokens set aside for it since it fell silent.
     reserved: float = 0.0
 
@@ -62,8 +94,12 @@
     Each instance charges its own requests at once and those of the others when their
     heartbeats report them. Between two heartbeats it admits at most its share of what
     is left, in proportion to demand, as in flow proportional share (Raghavan et al.,
-    "Cloud Control with Distributed Rate Limiting", SIGCOMM 2007, section 4.3). A silent
-    instance may go on admitting: its share is set aside.
+    "Cloud Control with Distributed Rate Limiting", SIGCOMM 2007, section 4.3).
+
+    A silent instance may go on admitting behind a cut. Its share of rate, burst and
+    tokens at the time when it fell silent is set aside, so that both sides of a cut
+    together keep to the allowance whatever is asked of them. What it did not use is
+    given back when it is heard again.
 
     :param full: True to begin with all of the burst. A process that replaces another
         begins overdrawn, because what the other one admitted still counts, and takes
@@ -90,8 +126,11 @@
         self._admitted_at_seconds = float("-inf")
         self._round_limit = self._level + self._room
         self._demand_per_second = 0.0
+        self._steady_demand = _SteadyDemand()
         self._peers: dict[str, _PeerUsage] = {}
-        self._silent: frozenset[str] = frozenset()
+        self._knows_level = full
+        #: Part of the allowance that is set aside for silent instances.
+        self._share_aside = 0.0
         self._wide_report_at_seconds = float("-inf")
 
     @property
@@ -163,15 +202,16 @@
             return True
         free = FREE_REQUESTS if self._level > 0 else FREE_REQUESTS_OVERDRAWN
         limit = max(free, self._round_limit * self._find_own_share())
-        if self._level <= -self._room or self._admitted_in_round + 1 > limit:
+        if self._tokens <= 0 or self._admitted_in_round + 1 > limit:
             return False
         self._count_admitted()
         return True
 
     def find_wait_seconds(self) -> float:
         """Returns the time until a token is likely to be there."""
-        missing = max(0.0, 1.0 - self._room - self._level)
-        return missing / self._rate_per_second if self._rate_per_second > 0 else 0.0
+        missing = max(0.0, 1.0 - self._tokens)
+        rate_per_second = self._rate_per_second * (1.0 - self._share_aside)
+        return missing / rate_per_second if rate_per_second > 0 else 0.0
 
     def begin_round(
         self, now_seconds: float, silent: frozenset[str], report_seconds: float
@@ -186,9 +226,11 @@
         if self._admitted and now_seconds - self._admitted_at_seconds > report_seconds:
             self._admitted = 0
             self._period += 1
-        self._silent = silent
+        self._steady_demand.add(self._demand_per_second)
+        self._set_aside(silent)
+        self._shrink_old_shares()
         self._admitted_in_round = 0
-        self._round_limit = max(0.0, self._level + self._room)
+        self._round_limit = max(0.0, self._tokens)
 
     def observe(
         self, name: str, run: int, usage: OrganisationUsage, *, heard_before: bool
@@ -198,30 +240,98 @@
         :param heard_before: True if this run of it was heard before, so that what it
             did not report then, it had not admitted.
         """
+        peer = _PeerUsage(run, usage.period, usage.admitted, usage.demand_per_second)
         known = self._peers.get(name)
+        if known is not None:
+            peer.steady_demand = known.steady_demand
+        peer.steady_demand.add(usage.demand_per_second)
         if heard_before and (
             known is None or (known.run, known.period) != (run, usage.period)
         ):
             known = _PeerUsage(run, usage.period, 0, 0.0)
-        if not self._peers:
+        if not self._knows_level:
+            self._knows_level = True
             self._level = max(self._level, min(usage.level, self._burst))
         # What a new acquaintance did before is in the level that was taken over.
+        admitted = 0
         if known is not None and known.run == run:
             admitted = max(0, usage.admitted - known.admitted)
-            self._charge(max(0.0, admitted - known.reserved))
-        self._peers[name] = _PeerUsage(
-            run, usage.period, usage.admitted, usage.demand_per_second
-        )
+        self._take_back(name, admitted)
+        self._peers[name] = peer
 
-    def observe_idle(self, name: str) -> None:
-        """Learns that another instance has no request of the organisation."""
-        known = self._peers.get(name)
-        if known is not None:
-            known.demand_per_second = 0.0
+    def observe_idle(self, name: str, run: int) -> None:
+        """Learns that another instance has no request of the organisation.
+
+        It has a share all the same: its first request may come behind a cut.
+        """
+        known = self._peers.setdefault(name, _PeerUsage(run, 0, 0, 0.0))
+        self._take_back(name, 0)
+        known.demand_per_second = 0.0
+        known.steady_demand.add(0.0)
 
     def forget(self, name: str) -> None:
-        """Drops an instance that left."""
-        self._peers.pop(name, None)
+        """Drops an instance that left or was given up.
+
+        What was set aside for one that is given up it may have used.
+        """
+        known = self._peers.get(name)
+        if known is None:
+            return
+        known.reserved = 0.0
+        self._take_back(name, 0)
+        del self._peers[name]
+
+    @property
+    def _tokens(self) -> float:
+        """What may be admitted on this side of a cut, planned excess included."""
+        return self._level + self._room * (1.0 - self._share_aside)
+
+    def _set_aside(self, silent: frozenset[str]) -> None:
+        """Sets the shares of instances aside that have fallen silent."""
+        heard = [p for p in self._peers.values() if p.silent_at_seconds is None]
+        total = self._steady_demand.per_second + sum(
+            peer.steady_demand.per_second for peer in heard
+        )
+        left = 1.0 - self._share_aside
+        tokens = max(0.0, self._tokens)
+        for name in silent:
+            peer = self._peers.get(name)
+            if peer is None or peer.silent_at_seconds is not None:
+                continue
+            even = 1.0 / (1 + len(heard))
+            part = peer.steady_demand.per_second / total if total > 0 else even
+            peer.silent_at_seconds = self._now_seconds
+            peer.share = left * part
+            peer.reserved = tokens * part
+            self._level += self._room * peer.share - peer.reserved
+            self._share_aside += peer.share
+
+    def _take_back(self, name: str, admitted: int) -> None:
+        """Ends what is set aside for an instance and charges what it admitted."""
+        peer = self._peers.get(name)
+        if peer is None or peer.silent_at_seconds is None:
+            self._charge(float(admitted))
+            return
+        most = peer.share * (self._burst + self._room)
+        self._level += min(peer.reserved, most) - self._room * peer.share
+        self._level = min(self._level, self._burst)
+        self._share_aside = max(0.0, self._share_aside - peer.share)
+        peer.silent_at_seconds, peer.share, peer.reserved = None, 0.0, 0.0
+        self._charge(float(admitted))
+
+    def _shrink_old_shares(self) -> None:
+        total = self._steady_demand.per_second + sum(
+            peer.steady_demand.per_second for peer in self._peers.values()
+        )
+        for peer in self._peers.values():
+            if peer.silent_at_seconds is None or total <= 0:
+                continue
+            if self._now_seconds - peer.silent_at_seconds < FIXED_SHARE_SECONDS:
+                continue
+            share = min(peer.share, peer.steady_demand.per_second / total)
+            self._level -= self._room * (peer.share - share)
+            self._share_aside -= peer.share - share
+            peer.share = share
 
     def _count_admitted(self) -> None:
         self._admitted += 1
@@ -238,27 +348,16 @@
         self._now_seconds = now_seconds
         self._demand_per_second *= max(0.0, 1.0 - elapsed_seconds / DEMAND_SECONDS)
         minted = self._rate_per_second * elapsed_seconds
-        for name in self._silent:
-            peer = self._peers.get(name)
-            if peer is None:
-                continue
-            reserved = (
-                self._rate_per_second
-                * elapsed_seconds
-                * self._find_share(peer.demand_per_second)
-            )
-            peer.reserved += reserved
-            minted -= reserved
-        self._level = min(self._burst, self._level + max(0.0, minted))
+        for peer in self._peers.values():
+            peer.reserved += minted * peer.share
+        left = 1.0 - self._share_aside
+        self._level = min(self._burst * left, self._level + minted * left)
 
     def _find_own_share(self) -> float:
-        return self._find_share(self._demand_per_second)
-
-    def _find_share(self, demand_per_second: float) -> float:
-        total = self._demand_per_second + sum(
-            peer.demand_per_second for peer in self._peers.values()
-        )
-        smallest = MIN_SHARE_RATIO / (1 + len(self._peers))
+        """Returns this instance's part of what is not set aside."""
+        heard = [p for p in self._peers.values() if p.silent_at_seconds is None]
+        total = self._demand_per_second + sum(p.demand_per_second for p in heard)
+        smallest = MIN_SHARE_RATIO / (1 + len(heard))
         if total <= 0:
             return smallest
-        return max(smallest, demand_per_second / total)
+        return max(smallest, self._demand_per_second / total)
--- a/egrethall/quota/_book.py
+++ b/egrethall/quota/_book.py
@@ -128,7 +128,7 @@
         for name, allowance in self._allowances.items():
             usage = heartbeat.usage.get(name)
             if usage is None:
-                allowance.observe_idle(heartbeat.name)
+                allowance.observe_idle(heartbeat.name, heartbeat.run)
                 continue
             allowance.observe(
                 heartbeat.name, heartbeat.run, usage, heard_before=heard_before
