Notice a cut through a large fleet by whole zones, and spread the turns

A zone from which nobody is heard while it owes twelve heartbeats is silent now, after 2.3 s for a third of 141, and so are all others for an instance that hears nobody. Fleets of up to 24 behave as before. Found with it: the turns of all instances ran together, because each began them while it knew a few addresses, so that an instance was heard by nearly all in one round and by nobody for 8.8 s ('No zone of a large fleet is taken for silent by chance' fails first).

--- a/egrethall/fleet/_members.py
+++ b/egrethall/fleet/_members.py
@@ -18,6 +18,10 @@
 #: lost datagram makes it so: what is set aside for a silent instance is given back.
 SILENT_ROUNDS = 1.5
 
+#: Heartbeats that a zone, or the whole fleet, owes before silence means that it is cut
+#: off. By chance alone that many stay away once in e^12 rounds.
+OWED_HEARTBEATS = 12
+
 #: A silent instance keeps its shares for this long. Longer than a zone takes to come
 #: back, because an instance that is only cut off goes on using them.
 FORGET_SECONDS = 30.0
@@ -28,6 +32,10 @@
 NAMED_TO_NEWCOMER = 16
 
 
+#: Stands for all zones together; no zone has this name.
+_EVERYONE = "*"
+
+
 @dataclass
 class Member:
     """Another instance."""
@@ -69,7 +77,8 @@
         self._members: dict[str, Member] = {}
         # Instances begin their turns at different places, so that nobody hears of all
         # the others in the same round.
-        self._next_recipient = random_source.getrandbits(16)
+        self._first_recipient = random_source.getrandbits(16)
+        self._rounds = 0
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
         """Replaces the addresses at which instances are looked for."""
@@ -120,8 +129,9 @@
         addresses = sorted(member.address for member in self._members.values())
         unknown = [seed for seed in self._seeds if seed not in addresses]
         if len(addresses) > MAX_RECIPIENTS and sharers is not None:
-            start = self._next_recipient % len(addresses)
-            self._next_recipient = start + RECIPIENTS_IN_TURN
+            self._rounds += 1
+            start = self._first_recipient + self._rounds * RECIPIENTS_IN_TURN
+            start %= len(addresses)
             turn = itertools.islice(itertools.cycle(addresses), start, None)
             urgent = {
                 self._members[name].address for name in sharers & self._members.keys()
@@ -145,13 +155,33 @@
         return frozenset(self._members)
 
     def find_silent(self) -> frozenset[str]:
-        """Returns the names of instances that were heard and have fallen silent."""
+        """Returns the names of instances that were heard and have fallen silent.
+
+        In a large fleet each instance is heard rarely. A zone from which nobody is
+        heard is cut off long before the turn of its last instance, and so is this
+        instance if it hears nobody at all.
+        """
         now_seconds = self._clock.monotonic_seconds()
+        sizes: dict[str, int] = {}
+        heard_at_seconds: dict[str, float] = {}
+        for member in self._members.values():
+            for group in (_EVERYONE, member.availability_zone):
+                sizes[group] = sizes.get(group, 0) + 1
+                heard_at_seconds[group] = max(
+                    heard_at_seconds.get(group, 0.0), member.heard_at_seconds
+                )
+        silent_groups = {
+            group
+            for group, size in sizes.items()
+            if now_seconds - heard_at_seconds[group] > self._find_group_seconds(size)
+        }
         limit_seconds = self.silent_seconds
         return frozenset(
             member.name
             for member in self._members.values()
             if now_seconds - member.heard_at_seconds > limit_seconds
+            or member.availability_zone in silent_groups
+            or _EVERYONE in silent_groups
         )
 
     def find_readers(self, zone: str) -> tuple[list[str], list[str]]:
@@ -188,6 +218,12 @@
         """Time without a heartbeat after which an instance is silent."""
         return SILENT_ROUNDS * self.turn_seconds
 
+    def _find_group_seconds(self, instances: int) -> float:
+        """Returns the time without any heartbeat after which a group is silent."""
+        owed_seconds = OWED_HEARTBEATS * self.turn_seconds / instances
+        least_seconds = SILENT_ROUNDS * self._round_seconds
+        return min(self.silent_seconds, max(least_seconds, owed_seconds))
+
     @property
     def fleet_size(self) -> int:
         """The number of instances, this one and silent ones included."""
--- a/egrethall/fleet/tests/members.feature
+++ b/egrethall/fleet/tests/members.feature
@@ -41,6 +41,24 @@
       | 1       | 35      | 3     | 0      |
       | 1 2 3 4 | 35      | 4     | 4      |
 
+  Scenario Outline: A cut through a large fleet is noticed by whole zones
+    Given 141 instances in 3 zones with 3 seeds
+    When heartbeats are exchanged for 20 s
+    And instances <cut> are cut off from the rest
+    And heartbeats are exchanged for 3 s
+    Then instance 0 finds at least <silent> silent, and only those that are cut off
+
+    Examples:
+      | cut       | silent |
+      | 94 to 140 | 47     |
+      | 1 to 140  | 140    |
+      | 0 to 46   | 94     |
+
+  Scenario: No zone of a large fleet is taken for silent by chance
+    Given 141 instances in 3 zones with 3 seeds
+    When heartbeats are exchanged for 30 s
+    Then no instance finds another one silent
+
   Scenario: A heartbeat keeps all that it carries
     When a heartbeat with usage, crashes and members is encoded and decoded
     Then it is the same
--- a/egrethall/fleet/tests/steps/member_steps.py
+++ b/egrethall/fleet/tests/steps/member_steps.py
@@ -21,7 +21,8 @@
 class MemberFleet:
     """Instances whose heartbeats arrive at once, unless one is cut off."""
 
-    def __init__(self, count, seeds, stale):
+    def __init__(self, count, seeds, stale, zones=1):
+        self.zones = zones
         self.clock = ManualClock()
         self.random = random.Random(11)
         self.addresses = [f"10.0.{n // 200}.{n % 200}:80" for n in range(count)]
@@ -29,6 +30,8 @@
         self.runs = [1] * count
         self.members = [self.make(number) for number in range(count)]
         self.cut = set()
+        #: Instances that reach each other but not the others.
+        self.far_side = set()
         self.left = set()
         self.largest_round = 0
 
@@ -47,7 +50,7 @@
             f"entry-{number}",
             self.runs[number],
             self.addresses[number],
-            "east",
+            f"zone-{number * self.zones // len(self.addresses)}",
             number in self.left,
             0,
             members=self.members[number].name_some(named),
@@ -67,7 +70,7 @@
         if address not in self.addresses or number in self.cut:
             return
         other = self.addresses.index(address)
-        if other in self.cut:
+        if other in self.cut or (number in self.far_side) != (other in self.far_side):
             return
         if self.members[other].observe(self.compose(number)):
             answer = self.compose(other, NAMED_TO_NEWCOMER)
@@ -79,6 +82,33 @@
     context.fleet = MemberFleet(count, seeds, stale)
 
 
+@given("{count:d} instances in {zones:d} zones with {seeds:d} seeds")
+def step_impl(context, count, zones, seeds):
+    context.fleet = MemberFleet(count, seeds, 0, zones)
+
+
+@when("instances {first:d} to {last:d} are cut off from the rest")
+def step_impl(context, first, last):
+    context.fleet.far_side = set(range(first, last + 1))
+
+
+@then("instance 0 finds at least {count:d} silent, and only those that are cut off")
+def step_impl(context, count):
+    fleet = context.fleet
+    silent = {int(name.split("-")[1]) for name in fleet.members[0].find_silent()}
+    assert len(silent) >= count, len(silent)
+    cut_off = fleet.far_side
+    if 0 in cut_off:
+        cut_off = set(range(len(fleet.members))) - cut_off
+    assert silent <= cut_off, len(silent - cut_off)
+
+
+@then("no instance finds another one silent")
+def step_impl(context):
+    silent = [len(members.find_silent()) for members in context.fleet.members]
+    assert not any(silent), silent
+
+
 @when("heartbeats are exchanged for {seconds:f} s")
 @when("heartbeats are exchanged for {seconds:d} s")
 def step_impl(context, seconds):
