Log which instances fell silent, were heard again or are gone

Their shares are set aside meanwhile, and no line said so: a refusal within the rate during a cut could not be explained from the logs. The scenario 'An instance that is lost and comes back is logged' fails first.

--- a/egrethall/entry/_peer_links.py
+++ b/egrethall/entry/_peer_links.py
@@ -25,6 +25,9 @@
 #: Time that the own watch gets before records are read from another instance.
 OWN_WATCH_SECONDS = 0.4
 
+#: Instances that one line names, so that a cut through a large fleet stays readable.
+MAX_NAMES_IN_LINE = 8
+
 logger = structlog.get_logger(__name__)
 
 
@@ -63,6 +66,7 @@
             self._receive,
         )
         cache.subscribe(self._announce)
+        self._silent: frozenset[str] = frozenset()
         #: The furthest instance that was heard of since the last reading.
         self._ahead: Heartbeat | None = None
         self._news = anyio.Event()
@@ -84,13 +88,27 @@
         self._follower.set_reading(
             is_reader(self._settings.name, near, far, age_seconds)
         )
+        silent = self._members.find_silent()
+        self._log_silent(silent)
         self._allowances.begin_round(
-            self._members.find_known(),
-            self._members.find_silent(),
-            self._members.turn_seconds,
+            self._members.find_known(), silent, self._members.turn_seconds
         )
         return self._allowances.find_sharers()
 
+    def _log_silent(self, silent: frozenset[str]) -> None:
+        before, self._silent = self._silent, silent
+        if silent == before:
+            return
+        known = self._members.find_known()
+        logger.info(
+            "silent instances changed",
+            silent=len(silent),
+            known=len(known),
+            fell_silent=",".join(sorted(silent - before)[:MAX_NAMES_IN_LINE]),
+            heard_again=",".join(sorted((before - silent) & known)[:MAX_NAMES_IN_LINE]),
+            gone=",".join(sorted(before - known)[:MAX_NAMES_IN_LINE]),
+        )
+
     def _compose(self, named: int) -> Heartbeat:
         return Heartbeat(
             name=self._settings.name,
--- a/egrethall/entry/tests/operations.feature
+++ b/egrethall/entry/tests/operations.feature
@@ -56,6 +56,10 @@
     When entry-1 is killed and started again
     Then it is ready within 1 s of its first line
 
+  Scenario: An instance that is lost and comes back is logged
+    When entry-1 is killed and started again 2 s later
+    Then entry-0 logged within 3 s that entry-1 fell silent and joined again
+
   Scenario: An instance that knows no configuration promises nothing false
     Given the store meets entry-0 with status 503
     And the store meets entry-1 with status 503
--- a/egrethall/entry/tests/steps/operation_steps.py
+++ b/egrethall/entry/tests/steps/operation_steps.py
@@ -93,6 +93,33 @@
     context.fleet.start_entry(entry)
 
 
+@when("{entry} is killed and started again {seconds:d} s later")
+def step_impl(context, entry, seconds):
+    context.log_before = {
+        name: len(context.fleet.read_log(name)) for name in context.fleet.entry_names
+    }
+    context.fleet.kill(entry)
+    time.sleep(seconds)
+    context.fleet.start_entry(entry)
+
+
+@then("{entry} logged within {seconds:d} s that {other} fell silent and joined again")
+def step_impl(context, entry, seconds, other):
+    wanted = (
+        f"silent instances changed.*fell_silent={other} ",
+        f"instance joined.*name={other}",
+        f"silent instances changed.*heard_again={other} ",
+    )
+    end = time.monotonic() + seconds
+    while True:
+        log = context.fleet.read_log(entry)[context.log_before[entry] :]
+        missing = [pattern for pattern in wanted if not re.search(pattern, log)]
+        if not missing or time.monotonic() > end:
+            break
+        time.sleep(0.05)
+    assert not missing, (missing, log)
+
+
 @when("both instances are killed and started again")
 def step_impl(context):
     for entry in context.fleet.entry_names:
