--- a/egrethall/quota/tests/allowances.feature
+++ b/egrethall/quota/tests/allowances.feature
@@ -36,6 +36,16 @@
       | 14        | 7     | together  | 53   | 0     | 250    | 417   |
       | 3         | 1     | together  | 58   | 36    | 270    | 455   |
 
+  Scenario: More demand some time after a cut through a large fleet
+    Given 141 instances in 3 zones that share a rate of 20 and a burst of 20
+    When 47 instances are cut off together and 4.0 s later the organisation sends 100 instead of 12 requests a second for 8 s
+    Then no window of 5 s holds more than 170 admitted requests
+
+  Scenario: More demand right after a cut through a large fleet
+    Given 141 instances in 3 zones that share a rate of 20 and a burst of 20
+    When 47 instances are cut off together and 1.5 s later the organisation sends 100 instead of 12 requests a second for 8 s
+    Then no window of 5 s holds more than 170 admitted requests
+
   Scenario Outline: A large fleet keeps to the allowance with few heartbeats
     Given 141 instances that share a rate of 20 and a burst of 20
     When the organisation sends <demand> requests a second for 12 s and nothing happens after 4 s
--- a/egrethall/quota/tests/steps/allowance_steps.py
+++ b/egrethall/quota/tests/steps/allowance_steps.py
@@ -3,7 +3,11 @@
 from behave import given, then, when
 
 from egrethall.fleet import ROUND_SECONDS, Heartbeat, OrganisationUsage
-from egrethall.fleet._members import MAX_RECIPIENTS, RECIPIENTS_IN_TURN
+from egrethall.fleet._members import (
+    MAX_RECIPIENTS,
+    OWED_HEARTBEATS,
+    RECIPIENTS_IN_TURN,
+)
 from egrethall.quota import (
     AllowanceExcess,
     FleetAllowances,
@@ -37,6 +41,7 @@
 
     def __init__(self, instances, rate, burst):
         self.rate, self.burst = rate, burst
+        self.zones = 1
         self.random = random.Random(7)
         self.now_seconds = 100.0
         self.names = [f"entry-{number}" for number in range(instances)]
@@ -109,11 +114,7 @@
             self.next_round[name] += ROUND_SECONDS
             if self.now_seconds < self.down_until[name]:
                 continue
-            silent = frozenset(
-                peer
-                for peer, at_seconds in self.heard[name].items()
-                if self.now_seconds - at_seconds > self.silent_seconds
-            )
+            silent = self.find_silent(name)
             allowance = self.allowances[name]
             allowance.begin_round(self.now_seconds, silent, 2 * self.turn_seconds)
             sharers = allowance.find_sharers()
@@ -122,6 +123,25 @@
             for peer in self.choose_recipients(name, sharers):
                 self.deliver(name, peer, None if allowance.idle else allowance.usage)
 
+    def find_silent(self, name):
+        """Instances are silent one by one, and by zones once those owe heartbeats."""
+        heard = self.heard[name]
+        silent = {
+            peer
+            for peer, at_seconds in heard.items()
+            if self.now_seconds - at_seconds > self.silent_seconds
+        }
+        size = len(self.names) // self.zones
+        for first in range(0, len(self.names), size):
+            group = [n for n in self.names[first : first + size] if n in heard]
+            if not group:
+                continue
+            owed_seconds = OWED_HEARTBEATS * self.turn_seconds / len(group)
+            limit_seconds = min(self.silent_seconds, max(0.75, owed_seconds))
+            if self.now_seconds - max(heard[p] for p in group) > limit_seconds:
+                silent.update(group)
+        return frozenset(silent)
+
     def choose_recipients(self, name, sharers):
         """A round reaches all of a small fleet, and a large one in turn."""
         if len(self.names) <= MAX_RECIPIENTS or sharers is None:
@@ -205,15 +225,28 @@
     fleet.run(demand, seconds, events[event], after_seconds)
 
 
+@given(
+    "{instances:d} instances in {zones:d} zones"
+    " that share a rate of {rate:d} and a burst of {burst:d}"
+)
+def step_impl(context, instances, zones, rate, burst):
+    fleet = AllowanceFleet(instances, rate, burst)
+    fleet.zones = zones
+    # Callers reach instances of all zones.
+    fleet.callers = fleet.names[:: instances // MAX_CALLED_INSTANCES]
+    fleet.weights = [1.0] * len(fleet.callers)
+    context.fleet = fleet
+
+
 @when(
-    "{count:d} instances are cut off {how} and 1.5 s later the organisation sends"
+    "{count:d} instances are cut off {how} and {wait:f} s later the organisation sends"
     " {demand:d} instead of {usual:d} requests a second for 8 s"
 )
-def step_impl(context, count, how, demand, usual):
+def step_impl(context, count, how, wait, demand, usual):
     fleet = context.fleet
     fleet.run(usual, 4, None, 0)
     fleet.cut_off(count, together=how == "together")
-    fleet.run(usual, 1.5, None, 0)
+    fleet.run(usual, wait, None, 0)
     fleet.run(demand, 8, None, 0)
 
 
