--- a/egrethall/quota/_allowance.py
+++ b/egrethall/quota/_allowance.py
@@ -7,7 +7,7 @@
 
 #: Share of the tolerated excess that is planned for. The rest covers requests of
 #: other instances that this one has not heard of yet.
-PLANNED_EXCESS_RATIO = 0.4
+PLANNED_EXCESS_RATIO = 0.3
 
 #: Time over which the demand is averaged. Shares follow an organisation that suddenly
 #: sends more within about two rounds of heartbeats.
@@ -172,8 +172,11 @@
     @property
     def usage(self) -> OrganisationUsage:
         """What this instance reports of itself."""
+        # While shares are set aside, the level holds their part of the room; another
+        # instance that takes it over has the whole room.
+        level = self._tokens - self._room
         return OrganisationUsage(
-            self._admitted, self._demand_per_second, self._level, self._period
+            self._admitted, self._demand_per_second, level, self._period
         )
 
     @property
@@ -241,7 +244,7 @@
             did not report then, it had not admitted.
         """
         peer = _PeerUsage(run, usage.period, usage.admitted, usage.demand_per_second)
-        known = self._peers.get(name)
+        known = self._find_run(name, run)
         if known is not None:
             peer.steady_demand = known.steady_demand
         peer.steady_demand.add(usage.demand_per_second)
@@ -264,7 +267,9 @@
 
         It has a share all the same: its first request may come behind a cut.
         """
-        known = self._peers.setdefault(name, _PeerUsage(run, 0, 0, 0.0))
+        known = self._find_run(name, run)
+        if known is None:
+            known = self._peers[name] = _PeerUsage(run, 0, 0, 0.0)
         self._take_back(name, 0)
         known.demand_per_second = 0.0
         known.steady_demand.add(0.0)
@@ -281,6 +286,16 @@
         self._take_back(name, 0)
         del self._peers[name]
 
+    def _find_run(self, name: str, run: int) -> _PeerUsage | None:
+        """Returns what an instance has reported, with ``run`` as its latest run.
+
+        A process that ended may have used what was set aside for it.
+        """
+        known = self._peers.get(name)
+        if known is not None and known.run != run:
+            known.reserved = 0.0
+        return known
+
     @property
     def _tokens(self) -> float:
         """What may be admitted on this side of a cut, planned excess included."""
