--- a/egrethall/quota/_allowance.py
+++ b/egrethall/quota/_allowance.py
@@ -1,6 +1,5 @@
 """The allowance of one organisation, as one instance sees it."""
 
-from collections import deque
 from dataclasses import dataclass, field
 
 from egrethall.fleet import OrganisationUsage
@@ -33,10 +32,6 @@
 #: of a cut must come to nearly the same shares, so it evens out a second's chance.
 STEADY_WEIGHT = 0.2
 
-#: Reports by which the steady demand lags. A silence is noticed two rounds after a cut,
-#: and what is asked behind the cut must not count.
-STEADY_LAG_REPORTS = 2
-
 #: Time for which the share of a silent instance stays as it was when it fell silent.
 #: Longer than a zone takes to come back. From then on the share shrinks as the demand
 #: here grows, so that the last instance of a fleet is not held to its old part.
@@ -59,19 +54,27 @@
 
 
 class _SteadyDemand:
-    """Demand averaged over the reports up to a second ago."""
+    """Demand averaged over the reports up to a second ago.
+
+    It lags by two reports: a silence is noticed two rounds after a cut, and what is
+    asked behind the cut must not count.
+    """
+
+    # There is one for each organisation and other instance.
+    __slots__ = ("_last", "_last_but_one", "per_second")
 
     def __init__(self) -> None:
         self.per_second = 0.0
-        self._latest: deque[float] = deque(maxlen=STEADY_LAG_REPORTS + 1)
+        self._last = 0.0
+        self._last_but_one = 0.0
 
     def add(self, demand_per_second: float) -> None:
         """Takes the report of one round."""
-        self._latest.append(demand_per_second)
-        self.per_second += STEADY_WEIGHT * (self._latest[0] - self.per_second)
+        self.per_second += STEADY_WEIGHT * (self._last_but_one - self.per_second)
+        self._last_but_one, self._last = self._last, demand_per_second
 
 
-@dataclass
+@dataclass(slots=True)
 class _PeerUsage:
     """What another instance has last reported."""
 
@@ -244,7 +247,8 @@
             did not report then, it had not admitted.
         """
         peer = _PeerUsage(run, usage.period, usage.admitted, usage.demand_per_second)
-        known = self._find_run(name, run)
+        self._end_other_run(name, run)
+        known = self._peers.get(name)
         if known is not None:
             peer.steady_demand = known.steady_demand
         peer.steady_demand.add(usage.demand_per_second)
@@ -267,7 +271,8 @@
 
         It has a share all the same: its first request may come behind a cut.
         """
-        known = self._find_run(name, run)
+        self._end_other_run(name, run)
+        known = self._peers.get(name)
         if known is None:
             known = self._peers[name] = _PeerUsage(run, 0, 0, 0.0)
         self._take_back(name, 0)
@@ -286,15 +291,11 @@
         self._take_back(name, 0)
         del self._peers[name]
 
-    def _find_run(self, name: str, run: int) -> _PeerUsage | None:
-        """Returns what an instance has reported, with ``run`` as its latest run.
-
-        A process that ended may have used what was set aside for it.
-        """
+    def _end_other_run(self, name: str, run: int) -> None:
+        """Counts as used what was set aside for an earlier process of an instance."""
         known = self._peers.get(name)
         if known is not None and known.run != run:
             known.reserved = 0.0
-        return known
 
     @property
     def _tokens(self) -> float:
@@ -303,6 +304,8 @@
 
     def _set_aside(self, silent: frozenset[str]) -> None:
         """Sets the shares of instances aside that have fallen silent."""
+        if not silent:
+            return
         heard = [p for p in self._peers.values() if p.silent_at_seconds is None]
         total = self._steady_demand.per_second + sum(
             peer.steady_demand.per_second for peer in heard
@@ -335,6 +338,8 @@
         self._charge(float(admitted))
 
     def _shrink_old_shares(self) -> None:
+        if not self._share_aside:
+            return
         total = self._steady_demand.per_second + sum(
             peer.steady_demand.per_second for peer in self._peers.values()
         )
@@ -363,8 +368,9 @@
         self._now_seconds = now_seconds
         self._demand_per_second *= max(0.0, 1.0 - elapsed_seconds / DEMAND_SECONDS)
         minted = self._rate_per_second * elapsed_seconds
-        for peer in self._peers.values():
-            peer.reserved += minted * peer.share
+        if self._share_aside:
+            for peer in self._peers.values():
+                peer.reserved += minted * peer.share
         left = 1.0 - self._share_aside
         self._level = min(self._burst * left, self._level + minted * left)
 
