Remove what the change left unread

The connection server of egrethall serve sends no lifespan messages, so that its application answers none. Counters, a field and a type of the entry instances that nothing read go. UpstreamHead.misdirected stays: a test of the adapter asserts it.

--- a/egrethall/entry/_prober.py
+++ b/egrethall/entry/_prober.py
@@ -93,8 +93,6 @@
         self._format = exchange_format
         self._clock = clock
         self._tasks = tasks
-        #: Probes since the start, for metrics.
-        self.count = 0
 
     def start_round(
         self, states: list[UpstreamState], health_path: str, into: ProbeRound
@@ -132,7 +130,6 @@
         await self._pool.give_back(probe.state, probe.connection, probe.idle_seconds)
 
     async def _probe(self, state: UpstreamState, health_path: str) -> Probe | None:
-        self.count += 1
         connection: ClientConnection | None = None
         try:
             with anyio.fail_after(PROBE_SECONDS):
--- a/egrethall/fleet/__init__.py
+++ b/egrethall/fleet/__init__.py
@@ -9,7 +9,6 @@
     NAMED_IN_ROUND,
     NAMED_TO_NEWCOMER,
     FleetMembers,
-    Member,
 )
 from egrethall.fleet._messages import (
     Heartbeat,
@@ -26,7 +25,6 @@
     "FleetSocketError",
     "Heartbeat",
     "MalformedHeartbeatError",
-    "Member",
     "NAMED_IN_ROUND",
     "NAMED_TO_NEWCOMER",
     "OrganisationUsage",
--- a/egrethall/fleet/_members.py
+++ b/egrethall/fleet/_members.py
@@ -44,7 +44,6 @@
     address: str
     availability_zone: str = ""
     run: int = 0
-    revision: int = 0
     #: True if it reads the store itself and is answered.
     reading: bool = False
     #: Clock reading of its last heartbeat, or of when it was first heard of.
@@ -101,7 +100,6 @@
         member.address = heartbeat.address
         member.availability_zone = heartbeat.availability_zone
         member.run = heartbeat.run
-        member.revision = heartbeat.revision
         member.reading = heartbeat.reading
         member.heard_at_seconds = self._clock.monotonic_seconds()
         member.confirmed = True
--- a/egrethall/ingress/_application.py
+++ b/egrethall/ingress/_application.py
@@ -112,9 +112,6 @@
         if scope["type"] == "websocket":
             await send({"type": "websocket.close", "code": 1000})
             return
-        if scope["type"] == "lifespan":
-            await _answer_lifespan(receive, send)
-            return
         record = CallRecord(
             request_id=f"{self._random.getrandbits(REQUEST_ID_BITS):032x}",
             started_at_seconds=self._clock.monotonic_seconds(),
@@ -214,11 +211,3 @@
         )
         self._collaborators.observer.observe_end(result)
         self._log.write(result, record.succeeded)
-
-
-async def _answer_lifespan(receive: Receive, send: Send) -> None:
-    while True:
-        message = await receive()
-        await send({"type": f"{message['type']}.complete"})
-        if message["type"] == "lifespan.shutdown":
-            return
--- a/egrethall/platform/_store.py
+++ b/egrethall/platform/_store.py
@@ -43,8 +43,6 @@
     def __init__(self, address: str) -> None:
         self._address = address
         self._connection: ClientConnection | None = None
-        #: Calls since the start, for metrics.
-        self.calls = 0
 
     async def read_all(self) -> RecordBatch:
         """Returns all records; raises :class:`RecordSourceError`."""
@@ -83,7 +81,6 @@
             self._connection = None
 
     async def _call(self, target: str, timeout_seconds: float) -> Mapping[str, Any]:
-        self.calls += 1
         try:
             with anyio.fail_after(timeout_seconds):
                 status, body = await self._exchange(target)
--- a/egrethall/types/__init__.py
+++ b/egrethall/types/__init__.py
@@ -106,7 +106,6 @@
 )
 from egrethall.types._records import (
     HistoryLostError,
-    PeerRecordReader,
     Record,
     RecordBatch,
     RecordSource,
@@ -162,7 +161,6 @@
     "ManualClock",
     "Organisation",
     "PeerMessage",
-    "PeerRecordReader",
     "PeerRequester",
     "PeerUnavailableError",
     "Plan",
--- a/egrethall/types/_records.py
+++ b/egrethall/types/_records.py
@@ -1,6 +1,5 @@
 """Records of a store that instances read and pass on to each other."""
 
-from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -49,7 +48,3 @@
         Raises :class:`HistoryLostError` or :class:`RecordSourceError`.
         """
         ...
-
-
-#: Reads the records that changed after a revision from one other instance.
-PeerRecordReader = Callable[[str, int], Awaitable[RecordBatch]]
