Keep the rule of silence in one place and apply it once a round

The play of allowances had a copy of the rule by which instances are silent, with a bound of its own, and a round found the silent instances three times.

--- a/egrethall/entry/_peer_links.py
+++ b/egrethall/entry/_peer_links.py
@@ -83,23 +83,20 @@
             self._exchange.announce()
 
     def _begin_round(self) -> frozenset[str] | None:
-        near, far = self._members.find_readers(self._settings.availability_zone)
+        known, silent = self._members.find_known(), self._members.find_silent()
+        near, far = self._members.find_readers(self._settings.availability_zone, silent)
         age_seconds = self._clock.monotonic_seconds() - self._started_at_seconds
         self._follower.set_reading(
             is_reader(self._settings.name, near, far, age_seconds)
         )
-        silent = self._members.find_silent()
-        self._log_silent(silent)
-        self._allowances.begin_round(
-            self._members.find_known(), silent, self._members.turn_seconds
-        )
+        self._log_silent(known, silent)
+        self._allowances.begin_round(known, silent, self._members.turn_seconds)
         return self._allowances.find_sharers()
 
-    def _log_silent(self, silent: frozenset[str]) -> None:
+    def _log_silent(self, known: frozenset[str], silent: frozenset[str]) -> None:
         before, self._silent = self._silent, silent
         if silent == before:
             return
-        known = self._members.find_known()
         logger.info(
             "silent instances changed",
             silent=len(silent),
--- a/egrethall/fleet/__init__.py
+++ b/egrethall/fleet/__init__.py
@@ -18,19 +18,29 @@
     encode_heartbeat,
 )
 from egrethall.fleet._record_exchange import RecordServer, read_records_from_peer
+from egrethall.fleet._silence import (
+    MAX_RECIPIENTS,
+    RECIPIENTS_IN_TURN,
+    count_turn_rounds,
+    find_silent,
+)
 
 __all__ = [
     "FleetExchange",
     "FleetMembers",
     "FleetSocketError",
     "Heartbeat",
+    "MAX_RECIPIENTS",
     "MalformedHeartbeatError",
     "NAMED_IN_ROUND",
     "NAMED_TO_NEWCOMER",
     "OrganisationUsage",
+    "RECIPIENTS_IN_TURN",
     "ROUND_SECONDS",
     "RecordServer",
+    "count_turn_rounds",
     "decode_heartbeat",
     "encode_heartbeat",
+    "find_silent",
     "read_records_from_peer",
 ]
--- a/egrethall/fleet/_members.py
+++ b/egrethall/fleet/_members.py
@@ -4,24 +4,14 @@
 from dataclasses import dataclass
 
 from egrethall.fleet._messages import Heartbeat
+from egrethall.fleet._silence import (
+    MAX_RECIPIENTS,
+    RECIPIENTS_IN_TURN,
+    count_turn_rounds,
+    find_silent,
+)
 from egrethall.types import Clock, RandomSource
 
-#: Instances that one round of heartbeats goes to at most. At today's size it reaches
-#: everyone; a larger fleet is reached in turn, so that the cost of a round is bounded.
-MAX_RECIPIENTS = 24
-
-#: The same in a fleet that is too large for one round. Instances that share a pressed
-#: allowance hear of each other in each round besides.
-RECIPIENTS_IN_TURN = 8
-
-#: An instance that was not heard for so long, in rounds that reach it, is silent. One
-#: lost datagram makes it so: what is set aside for a silent instance is given back.
-SILENT_ROUNDS = 1.5
-
-#: Heartbeats that a zone, or the whole fleet, owes before silence means that it is cut
-#: off. By chance alone that many stay away once in e^12 rounds.
-OWED_HEARTBEATS = 12
-
 #: A silent instance keeps its shares for this long. Longer than a zone takes to come
 #: back, because an instance that is only cut off goes on using them.
 FORGET_SECONDS = 30.0
@@ -32,10 +22,6 @@
 NAMED_TO_NEWCOMER = 16
 
 
-#: Stands for all zones together; no zone has this name.
-_EVERYONE = "*"
-
-
 @dataclass
 class Member:
     """Another instance."""
@@ -153,41 +139,24 @@
         return frozenset(self._members)
 
     def find_silent(self) -> frozenset[str]:
-        """Returns the names of instances that were heard and have fallen silent.
-
-        In a large fleet each instance is heard rarely. A zone from which nobody is
-        heard is cut off long before the turn of its last instance, and so is this
-        instance if it hears nobody at all.
-        """
-        now_seconds = self._clock.monotonic_seconds()
-        sizes: dict[str, int] = {}
-        heard_at_seconds: dict[str, float] = {}
-        for member in self._members.values():
-            for group in (_EVERYONE, member.availability_zone):
-                sizes[group] = sizes.get(group, 0) + 1
-                heard_at_seconds[group] = max(
-                    heard_at_seconds.get(group, 0.0), member.heard_at_seconds
-                )
-        silent_groups = {
-            group
-            for group, size in sizes.items()
-            if now_seconds - heard_at_seconds[group] > self._find_group_seconds(size)
-        }
-        limit_seconds = self.silent_seconds
-        return frozenset(
-            member.name
-            for member in self._members.values()
-            if now_seconds - member.heard_at_seconds > limit_seconds
-            or member.availability_zone in silent_groups
-            or _EVERYONE in silent_groups
+        """Returns the names of instances that were heard and have fallen silent."""
+        return find_silent(
+            {
+                member.name: (member.availability_zone, member.heard_at_seconds)
+                for member in self._members.values()
+            },
+            self._clock.monotonic_seconds(),
+            self._round_seconds,
         )
 
-    def find_readers(self, zone: str) -> tuple[list[str], list[str]]:
+    def find_readers(
+        self, zone: str, silent: frozenset[str]
+    ) -> tuple[list[str], list[str]]:
         """Returns the names of the other instances that read the store.
 
         The first list has those of ``zone``, the second one those of other zones.
+        Those in ``silent`` are left out.
         """
-        silent = self.find_silent()
         near: list[str] = []
         far: list[str] = []
         for member in self._members.values():
@@ -206,21 +175,7 @@
     @property
     def turn_seconds(self) -> float:
         """Time in which a heartbeat goes to each instance once."""
-        rounds = 1.0
-        if len(self._members) > MAX_RECIPIENTS:
-            rounds = len(self._members) / RECIPIENTS_IN_TURN
-        return rounds * self._round_seconds
-
-    @property
-    def silent_seconds(self) -> float:
-        """Time without a heartbeat after which an instance is silent."""
-        return SILENT_ROUNDS * self.turn_seconds
-
-    def _find_group_seconds(self, instances: int) -> float:
-        """Returns the time without any heartbeat after which a group is silent."""
-        owed_seconds = OWED_HEARTBEATS * self.turn_seconds / instances
-        least_seconds = SILENT_ROUNDS * self._round_seconds
-        return min(self.silent_seconds, max(least_seconds, owed_seconds))
+        return count_turn_rounds(len(self._members)) * self._round_seconds
 
     @property
     def fleet_size(self) -> int:
--- a/egrethall/quota/tests/steps/allowance_steps.py
+++ b/egrethall/quota/tests/steps/allowance_steps.py
@@ -2,11 +2,14 @@
 
 from behave import given, then, when
 
-from egrethall.fleet import ROUND_SECONDS, Heartbeat, OrganisationUsage
-from egrethall.fleet._members import (
+from egrethall.fleet import (
     MAX_RECIPIENTS,
-    OWED_HEARTBEATS,
     RECIPIENTS_IN_TURN,
+    ROUND_SECONDS,
+    Heartbeat,
+    OrganisationUsage,
+    count_turn_rounds,
+    find_silent,
 )
 from egrethall.quota import (
     AllowanceExcess,
@@ -63,11 +66,7 @@
         everyone = {(name, 1) for name in self.names}
         self.known_runs = {name: set(everyone) for name in self.names}
         self.turns = {}
-        rounds = 1.0
-        if instances > MAX_RECIPIENTS:
-            rounds = instances / RECIPIENTS_IN_TURN
-        self.turn_seconds = rounds * ROUND_SECONDS
-        self.silent_seconds = 1.5 * self.turn_seconds
+        self.turn_seconds = count_turn_rounds(instances - 1) * ROUND_SECONDS
         self.admitted_at = []
         self.refused_at = []
         self.event_at = None
@@ -124,23 +123,12 @@
                 self.deliver(name, peer, None if allowance.idle else allowance.usage)
 
     def find_silent(self, name):
-        """Instances are silent one by one, and by zones once those owe heartbeats."""
-        heard = self.heard[name]
-        silent = {
-            peer
-            for peer, at_seconds in heard.items()
-            if self.now_seconds - at_seconds > self.silent_seconds
-        }
         size = len(self.names) // self.zones
-        for first in range(0, len(self.names), size):
-            group = [n for n in self.names[first : first + size] if n in heard]
-            if not group:
-                continue
-            owed_seconds = OWED_HEARTBEATS * self.turn_seconds / len(group)
-            limit_seconds = min(self.silent_seconds, max(0.75, owed_seconds))
-            if self.now_seconds - max(heard[p] for p in group) > limit_seconds:
-                silent.update(group)
-        return frozenset(silent)
+        heard = {
+            peer: (f"zone-{self.names.index(peer) // size}", at_seconds)
+            for peer, at_seconds in self.heard[name].items()
+        }
+        return find_silent(heard, self.now_seconds, ROUND_SECONDS)
 
     def choose_recipients(self, name, sharers):
         """A round reaches all of a small fleet, and a large one in turn."""
