Separate giving back what is set aside from charging

One step looked an instance up three times, ended its share and charged its requests, and callers emptied its tokens beforehand to say that they were used. Giving back now says so itself.

--- a/egrethall/quota/_allowance.py
+++ b/egrethall/quota/_allowance.py
@@ -247,55 +247,37 @@
             did not report then, it had not admitted.
         """
         peer = _PeerUsage(run, usage.period, usage.admitted, usage.demand_per_second)
-        self._end_other_run(name, run)
         known = self._peers.get(name)
         if known is not None:
             peer.steady_demand = known.steady_demand
         peer.steady_demand.add(usage.demand_per_second)
-        if heard_before and (
-            known is None or (known.run, known.period) != (run, usage.period)
-        ):
-            known = _PeerUsage(run, usage.period, 0, 0.0)
         if not self._knows_level:
             self._knows_level = True
             self._level = max(self._level, min(usage.level, self._burst))
-        # What a new acquaintance did before is in the level that was taken over.
-        admitted = 0
-        if known is not None and known.run == run:
-            admitted = max(0, usage.admitted - known.admitted)
-        self._take_back(name, admitted)
+        if known is not None:
+            self._take_back(known, used_up=known.run != run)
         self._peers[name] = peer
+        # What a new acquaintance did before is in the level that was taken over.
+        before = 0 if heard_before else usage.admitted
+        if known is not None and (known.run, known.period) == (run, usage.period):
+            before = known.admitted
+        self._charge(max(0.0, usage.admitted - before))
 
     def observe_idle(self, name: str, run: int) -> None:
         """Learns that another instance has no request of the organisation.
 
         It has a share all the same: its first request may come behind a cut.
         """
-        self._end_other_run(name, run)
-        known = self._peers.get(name)
-        if known is None:
-            known = self._peers[name] = _PeerUsage(run, 0, 0, 0.0)
-        self._take_back(name, 0)
+        known = self._peers.setdefault(name, _PeerUsage(run, 0, 0, 0.0))
+        self._take_back(known, used_up=known.run != run)
         known.demand_per_second = 0.0
         known.steady_demand.add(0.0)
 
     def forget(self, name: str) -> None:
-        """Drops an instance that left or was given up.
-
-        What was set aside for one that is given up it may have used.
-        """
-        known = self._peers.get(name)
-        if known is None:
-            return
-        known.reserved = 0.0
-        self._take_back(name, 0)
-        del self._peers[name]
-
-    def _end_other_run(self, name: str, run: int) -> None:
-        """Counts as used what was set aside for an earlier process of an instance."""
-        known = self._peers.get(name)
-        if known is not None and known.run != run:
-            known.reserved = 0.0
+        """Drops an instance that left or was given up."""
+        known = self._peers.pop(name, None)
+        if known is not None:
+            self._take_back(known, used_up=True)
 
     @property
     def _tokens(self) -> float:
@@ -324,18 +306,20 @@
             self._level += self._room * peer.share - peer.reserved
             self._share_aside += peer.share
 
-    def _take_back(self, name: str, admitted: int) -> None:
-        """Ends what is set aside for an instance and charges what it admitted."""
-        peer = self._peers.get(name)
-        if peer is None or peer.silent_at_seconds is None:
-            self._charge(float(admitted))
+    def _take_back(self, peer: _PeerUsage, *, used_up: bool) -> None:
+        """Ends what is set aside for an instance.
+
+        :param used_up: True for a process that has ended or was given up: it may have
+            used all of it.
+        """
+        if peer.silent_at_seconds is None:
             return
         most = peer.share * (self._burst + self._room)
-        self._level += min(peer.reserved, most) - self._room * peer.share
+        given_back = 0.0 if used_up else min(peer.reserved, most)
+        self._level += given_back - self._room * peer.share
         self._level = min(self._level, self._burst)
         self._share_aside = max(0.0, self._share_aside - peer.share)
         peer.silent_at_seconds, peer.share, peer.reserved = None, 0.0, 0.0
-        self._charge(float(admitted))
 
     def _shrink_old_shares(self) -> None:
         if not self._share_aside:
