--- a/egrethall/quota/_allowance.py
+++ b/egrethall/quota/_allowance.py
@@ -268,10 +268,13 @@
 
         It has a share all the same: its first request may come behind a cut.
         """
-        known = self._peers.setdefault(name, _PeerUsage(run, 0, 0, 0.0))
-        self._take_back(known, used_up=known.run != run)
-        known.demand_per_second = 0.0
-        known.steady_demand.add(0.0)
+        peer = self._peers.setdefault(name, _PeerUsage(run, 0, 0, 0.0))
+        self._take_back(peer, used_up=peer.run != run)
+        if peer.run != run:
+            # The new process has not admitted anything yet.
+            peer.run, peer.period, peer.admitted = run, 0, 0
+        peer.demand_per_second = 0.0
+        peer.steady_demand.add(0.0)
 
     def forget(self, name: str) -> None:
         """Drops an instance that left or was given up."""
--- a/egrethall/quota/tests/allowances.feature
+++ b/egrethall/quota/tests/allowances.feature
@@ -125,3 +125,8 @@
     Given two instances of which one has admitted 8 requests long ago
     When the other hears of it for the first time, and again after 3 more
     Then it charges 3
+
+  Scenario: A restarted process without requests gets its share back each time
+    Given two instances without requests, of which one was started again
+    When it falls silent and is heard again
+    Then the other has all of its 10 tokens
--- a/egrethall/quota/tests/steps/allowance_steps.py
+++ b/egrethall/quota/tests/steps/allowance_steps.py
@@ -411,3 +411,22 @@
 def step_impl(context, low, high):
     assert all(low <= wait <= high for wait in context.waits), context.waits
     assert len(set(context.waits)) > 1, context.waits
+
+
+@given("two instances without requests, of which one was started again")
+def step_impl(context):
+    context.here = OrganisationAllowance(10, 10, EXCESS, True, 0.0)
+    for run in (1, 2):
+        context.here.observe_idle("there", run)
+
+
+@when("it falls silent and is heard again")
+def step_impl(context):
+    context.here.begin_round(0.0, frozenset({"there"}), TURN_SECONDS)
+    assert context.here.level < 10, context.here.level
+    context.here.observe_idle("there", 2)
+
+
+@then("the other has all of its {count:d} tokens")
+def step_impl(context, count):
+    assert context.here.level == count, context.here.level
