Import prometheus_client with the first page of metrics

Cause: a process that is started anew has to import everything before it serves, on 0.43 of a core on the grown sites. -X importtime gave 0.25 of 1.28 s (beside other load) to prometheus_client with http.server, ssl and wsgiref, which only the page of metrics needs. Ruled out: structlog and anyio, which are needed from the first line.

The instance counts in plain fields; a collector hands them to prometheus_client when the page is asked for. Names and labels are unchanged.

--- a/egrethall/entry/_application.py
+++ b/egrethall/entry/_application.py
@@ -79,7 +79,7 @@
     async def answer(self, received: ReceivedRequest) -> Answer:
         """Returns the answer to a request."""
         record = RequestRecord(outcome="caller-gone")
-        self._observer.running.inc()
+        self._observer.begin()
         try:
             request = self._admit(received, record)
             answer = await self._sender.send(request)
@@ -102,9 +102,8 @@
                 )
             )
         finally:
-            self._observer.running.dec()
             elapsed = self._clock.monotonic_seconds() - received.received_at_seconds
-            self._observer.observe(record, elapsed)
+            self._observer.end(record, elapsed)
 
     def _admit(
         self, received: ReceivedRequest, record: RequestRecord
--- a/egrethall/entry/_daemon.py
+++ b/egrethall/entry/_daemon.py
@@ -10,7 +10,6 @@
 import anyio
 import structlog
 from anyio.abc import SocketStream, TaskGroup
-from prometheus_client import CollectorRegistry, generate_latest
 
 from egrethall.configuration import split_address
 from egrethall.entry._application import EntryApplication
@@ -22,6 +21,7 @@
 )
 from egrethall.entry._hedger import Hedger
 from egrethall.entry._logs import configure_entry_logs
+from egrethall.entry._metrics import RequestMetrics
 from egrethall.entry._observer import RequestObserver
 from egrethall.entry._peer_links import PeerLinks
 from egrethall.entry._placer import Placer
@@ -79,7 +79,7 @@
         self._random = random.Random()
         self._run = self._random.getrandbits(RUN_BITS)
         self._serving = ServingState()
-        self._registry = CollectorRegistry()
+        self._metrics = RequestMetrics()
         self._cache = RecordCache()
         self._status = SourceStatus(self._clock)
         self._table = UpstreamTable(self._clock, self._random)
@@ -186,7 +186,7 @@
             self._allowances,
             sender,
             exchange_format,
-            RequestObserver(self._clock, self._registry),
+            RequestObserver(self._clock, self._metrics),
             self._clock,
             self._random,
         )
@@ -264,7 +264,7 @@
         return (200 if ready else 503), b"text/plain", b"ready\n" if ready else b"no\n"
 
     def _show_metrics(self) -> tuple[int, bytes, bytes]:
-        return 200, b"text/plain; version=0.0.4", generate_latest(self._registry)
+        return 200, b"text/plain; version=0.0.4", self._metrics.render()
 
 
 def run_entry(settings: EntrySettings, settings_path: Path) -> None:
--- a/egrethall/entry/_observer.py
+++ b/egrethall/entry/_observer.py
@@ -1,8 +1,8 @@
 """Log lines and metrics of requests."""
 
 import structlog
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
+from egrethall.entry._metrics import RequestMetrics
 from egrethall.entry._request import RequestRecord
 from egrethall.types import Clock
 
@@ -12,9 +12,6 @@
 #: Lines of all other requests in one second at most.
 MAX_FAILURE_LINES_PER_SECOND = 50
 
-#: Bounds of latencies, around the objectives of today's routes (seconds).
-LATENCY_BUCKETS_SECONDS = (0.01, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.75, 1.0, 1.5, 3.0)
-
 OUTCOME_ANSWERED = "answered"
 
 logger = structlog.get_logger("egrethall.request")
@@ -51,59 +48,31 @@
 class RequestObserver:
     """Writes one line for a request and feeds the metrics."""
 
-    def __init__(self, clock: Clock, registry: CollectorRegistry) -> None:
+    def __init__(self, clock: Clock, metrics: RequestMetrics) -> None:
         self._successes = LineBudget(MAX_SUCCESS_LINES_PER_SECOND, clock)
         self._failures = LineBudget(MAX_FAILURE_LINES_PER_SECOND, clock)
-        self._requests = Counter(
-            "egrethall_requests_total",
-            "Requests by outcome.",
-            ["service", "outcome"],
-            registry=registry,
-        )
-        self._latencies = Histogram(
-            "egrethall_request_seconds",
-            "Time from the head of a request to its answer.",
-            ["service"],
-            buckets=LATENCY_BUCKETS_SECONDS,
-            registry=registry,
-        )
-        self._placing = Histogram(
-            "egrethall_placing_seconds",
-            "Time spent on finding an upstream.",
-            buckets=LATENCY_BUCKETS_SECONDS,
-            registry=registry,
-        )
-        self._attempts = Counter(
-            "egrethall_attempts_total",
-            "Requests sent to upstreams, repeats included.",
-            ["service"],
-            registry=registry,
-        )
-        self._left_out = Counter(
-            "egrethall_log_lines_left_out_total",
-            "Lines about requests that were not written.",
-            registry=registry,
-        )
-        self.running = Gauge(
-            "egrethall_running_requests",
-            "Requests that have not been answered.",
-            registry=registry,
-        )
+        self._metrics = metrics
+
+    def begin(self) -> None:
+        """Counts a request that is to be answered."""
+        self._metrics.running += 1
 
-    def observe(self, record: RequestRecord, elapsed_seconds: float) -> None:
+    def end(self, record: RequestRecord, elapsed_seconds: float) -> None:
         """Records how a request ended."""
+        metrics = self._metrics
         service = record.service or "none"
-        self._requests.labels(service, record.outcome).inc()
-        self._latencies.labels(service).observe(elapsed_seconds)
+        metrics.running -= 1
+        metrics.requests[service, record.outcome] += 1
+        metrics.observe_latency(service, elapsed_seconds)
         if record.attempts:
-            self._attempts.labels(service).inc(record.attempts)
-            self._placing.observe(record.placing_seconds)
+            metrics.attempts[service] += record.attempts
+            metrics.placing.observe(record.placing_seconds)
         succeeded = record.outcome == OUTCOME_ANSWERED
         budget = self._successes if succeeded else self._failures
         if not budget.take():
             return
         left_out = budget.collect_left_out()
-        self._left_out.inc(left_out)
+        metrics.lines_left_out += left_out
         logger.info(
             "request",
             id=record.request_id,
