Pass reports of pressed organisations on instead of sending them to everyone

An instance now sends 8 heartbeats a round whatever is pressed. A heartbeat marks what is pressed, and whoever hears of it first passes it on for 1.2 s, at most 32 reports, so that it reaches a fleet of 141 in three rounds. Reports carry the number of their heartbeat; older ones are ignored. Numbers of runs now grow, so that a late report of an earlier process is told from the present one.

Ruled out: a higher bound for pressed. It would leave nineteen instances of an organisation that suddenly sends more without word of each other for nine seconds.

Also: of a silent instance, an even share is set aside while the organisation has been in use for less than two turns of heartbeats, and then the mean of the even one and that by demand.

--- a/egrethall/entry/_daemon.py
+++ b/egrethall/entry/_daemon.py
@@ -41,7 +41,8 @@
 from egrethall.records import RecordCache, RecordFollower, SourceStatus
 from egrethall.types import CallerLimits, SystemClock
 
-RUN_BITS = 62
+#: Random bits of a run's number, below the milliseconds of its start.
+RUN_RANDOM_BITS = 20
 
 #: Time for which a leaving instance takes new connections: the platform asks once a
 #: second and takes an instance out after two answers that are not good.
@@ -77,7 +78,10 @@
         self._settings_file = SettingsFile(settings_path)
         self._clock = SystemClock()
         self._random = random.Random()
-        self._run = self._random.getrandbits(RUN_BITS)
+        started_at_ms = int(self._clock.now().timestamp() * 1000)
+        self._run = started_at_ms << RUN_RANDOM_BITS | self._random.getrandbits(
+            RUN_RANDOM_BITS
+        )
         self._serving = ServingState()
         self._metrics = RequestMetrics()
         self._cache = RecordCache()
@@ -96,6 +100,7 @@
             settings.first_start,
             self._clock,
             self._random,
+            settings.name,
         )
         self._published = PublishedState(
             decode_record,
--- a/egrethall/entry/_peer_links.py
+++ b/egrethall/entry/_peer_links.py
@@ -58,6 +58,7 @@
         self._is_leaving = is_leaving
         self._clock = clock
         self._started_at_seconds = clock.monotonic_seconds()
+        self._sequence = 0
         self._exchange = FleetExchange(
             settings.peer_address,
             members,
@@ -82,7 +83,7 @@
         if self._follower.is_reading:
             self._exchange.announce()
 
-    def _begin_round(self) -> frozenset[str] | None:
+    def _begin_round(self) -> None:
         known, silent = self._members.find_known(), self._members.find_silent()
         near, far = self._members.find_readers(self._settings.availability_zone, silent)
         age_seconds = self._clock.monotonic_seconds() - self._started_at_seconds
@@ -91,7 +92,6 @@
         )
         self._log_silent(known, silent)
         self._allowances.begin_round(known, silent, self._members.turn_seconds)
-        return self._allowances.find_sharers()
 
     def _log_silent(self, known: frozenset[str], silent: frozenset[str]) -> None:
         before, self._silent = self._silent, silent
@@ -107,6 +107,7 @@
         )
 
     def _compose(self, named: int) -> Heartbeat:
+        self._sequence += 1
         return Heartbeat(
             name=self._settings.name,
             run=self._run,
@@ -119,6 +120,8 @@
             usage=self._allowances.find_usage(),
             crashes=self._crashes.find_reports(),
             members=self._members.name_some(named),
+            sequence=self._sequence,
+            relayed=self._allowances.find_relayed(),
         )
 
     def _receive(self, heartbeat: Heartbeat) -> None:
--- a/egrethall/fleet/__init__.py
+++ b/egrethall/fleet/__init__.py
@@ -14,6 +14,7 @@
     Heartbeat,
     MalformedHeartbeatError,
     OrganisationUsage,
+    RelayedUsage,
     decode_heartbeat,
     encode_heartbeat,
 )
@@ -38,6 +39,7 @@
     "RECIPIENTS_IN_TURN",
     "ROUND_SECONDS",
     "RecordServer",
+    "RelayedUsage",
     "count_turn_rounds",
     "decode_heartbeat",
     "encode_heartbeat",
--- a/egrethall/fleet/_gossip.py
+++ b/egrethall/fleet/_gossip.py
@@ -43,8 +43,7 @@
 
     :param compose: returns the heartbeat to send now, with as many other instances
         named as its argument says.
-    :param begin_round: is called before each round; returns the names of instances to
-        which reports are urgent, None for all.
+    :param begin_round: is called before each round.
     :param receive: is called with each heartbeat of another instance.
     """
 
@@ -53,7 +52,7 @@
         address: str,
         members: FleetMembers,
         compose: Callable[[int], Heartbeat],
-        begin_round: Callable[[], frozenset[str] | None],
+        begin_round: Callable[[], None],
         receive: Callable[[Heartbeat], None],
     ) -> None:
         self._address = address
@@ -87,9 +86,9 @@
     async def send_round(self, udp: UDPSocket) -> None:
         """Sends one heartbeat to each instance whose turn it is."""
         self._members.forget_expired()
-        sharers = self._begin_round()
+        self._begin_round()
         datagram = encode_heartbeat(self._compose(NAMED_IN_ROUND))
-        for address in self._members.choose_recipients(sharers):
+        for address in self._members.choose_recipients():
             await self._send(udp, datagram, address)
 
     async def _announce(self, udp: UDPSocket) -> None:
--- a/egrethall/fleet/_members.py
+++ b/egrethall/fleet/_members.py
@@ -104,23 +104,16 @@
             if now_seconds - member.heard_at_seconds > FORGET_SECONDS:
                 del self._members[member.name]
 
-    def choose_recipients(self, sharers: frozenset[str] | None) -> list[str]:
-        """Returns the addresses of the next round of heartbeats.
-
-        :param sharers: names of instances that share a pressed allowance with this one;
-            None for all instances.
-        """
+    def choose_recipients(self) -> list[str]:
+        """Returns the addresses of the next round of heartbeats."""
         addresses = sorted(member.address for member in self._members.values())
         unknown = [seed for seed in self._seeds if seed not in addresses]
-        if len(addresses) > MAX_RECIPIENTS and sharers is not None:
+        if len(addresses) > MAX_RECIPIENTS:
             self._rounds += 1
             start = self._first_recipient + self._rounds * RECIPIENTS_IN_TURN
             start %= len(addresses)
             turn = itertools.islice(itertools.cycle(addresses), start, None)
-            urgent = {
-                self._members[name].address for name in sharers & self._members.keys()
-            }
-            addresses = list({*itertools.islice(turn, RECIPIENTS_IN_TURN), *urgent})
+            addresses = list(itertools.islice(turn, RECIPIENTS_IN_TURN))
         return addresses + unknown
 
     def name_some(self, most: int) -> tuple[tuple[str, str], ...]:
--- a/egrethall/fleet/_messages.py
+++ b/egrethall/fleet/_messages.py
@@ -1,15 +1,16 @@
 """The datagrams that instances send each other."""
 
 import math
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
+from typing import Any
 
 import msgpack
 
 from egrethall.types import EgrethallError
 
 #: Version of the format; instances ignore datagrams of another one.
-FORMAT_VERSION = 2
+FORMAT_VERSION = 3
 
 
 class MalformedHeartbeatError(EgrethallError):
@@ -29,6 +30,21 @@
     #: Number of times that the organisation was idle for so long that the count of
     #: admitted requests began anew.
     period: int = 0
+    #: True if the organisation may soon exceed its allowance, so that each instance
+    #: has to hear of this within a few rounds.
+    pressed: bool = False
+
+
+@dataclass(frozen=True)
+class RelayedUsage:
+    """What an instance has reported for one organisation, passed on by another."""
+
+    name: str
+    run: int
+    #: Number of the heartbeat in which it was reported.
+    sequence: int
+    organisation: str
+    usage: OrganisationUsage
 
 
 @dataclass(frozen=True)
@@ -36,7 +52,7 @@
     """What one instance tells the others about itself."""
 
     name: str
-    #: Random number of this run of the process.
+    #: Number of this run of the process; a later run has a higher one.
     run: int
     address: str
     availability_zone: str
@@ -53,6 +69,10 @@
     crashes: tuple[tuple[bytes, str], ...] = ()
     #: Names and addresses of some other instances.
     members: tuple[tuple[str, str], ...] = ()
+    #: Number of this heartbeat in the run.
+    sequence: int = 0
+    #: What others have reported of pressed organisations.
+    relayed: tuple[RelayedUsage, ...] = ()
 
 
 def encode_heartbeat(heartbeat: Heartbeat) -> bytes:
@@ -69,17 +89,20 @@
                 heartbeat.revision,
                 heartbeat.reading,
                 heartbeat.since_outage_seconds,
-                {
-                    name: [
-                        usage.admitted,
-                        round(usage.demand_per_second * 10),
-                        round(usage.level),
-                        usage.period,
-                    ]
-                    for name, usage in heartbeat.usage.items()
-                },
+                {name: _encode_usage(usage) for name, usage in heartbeat.usage.items()},
                 heartbeat.crashes,
                 heartbeat.members,
+                heartbeat.sequence,
+                [
+                    (
+                        report.name,
+                        report.run,
+                        report.sequence,
+                        report.organisation,
+                        _encode_usage(report.usage),
+                    )
+                    for report in heartbeat.relayed
+                ],
             ]
         )
     )
@@ -92,7 +115,8 @@
         if version != FORMAT_VERSION:
             raise MalformedHeartbeatError(f"a heartbeat has format {version!r}")
         name, run, address, zone, leaving, revision, *rest = fields
-        reading, since_outage_seconds, usage, crashes, members = rest
+        reading, since_outage_seconds, usage, crashes, members, *rest = rest
+        sequence, relayed = rest
         return Heartbeat(
             name=str(name),
             run=int(run),
@@ -103,18 +127,44 @@
             reading=bool(reading),
             since_outage_seconds=float(since_outage_seconds),
             usage={
-                str(organisation): OrganisationUsage(
-                    int(admitted), int(tenths) / 10, float(level), int(period)
-                )
-                for organisation, (admitted, tenths, level, period) in usage.items()
+                str(organisation): _decode_usage(fields)
+                for organisation, fields in usage.items()
             },
             crashes=tuple(
                 (bytes(fingerprint), str(upstream)) for fingerprint, upstream in crashes
             ),
             members=tuple((str(peer), str(where)) for peer, where in members),
+            sequence=int(sequence),
+            relayed=tuple(
+                RelayedUsage(
+                    str(name),
+                    int(run),
+                    int(number),
+                    str(organisation),
+                    _decode_usage(fields),
+                )
+                for name, run, number, organisation, fields in relayed
+            ),
         )
     except MalformedHeartbeatError:
         raise
     except Exception as error:
         # msgpack raises a dozen types, depending on what is wrong with the bytes.
         raise MalformedHeartbeatError(f"no heartbeat: {error}") from error
+
+
+def _encode_usage(usage: OrganisationUsage) -> tuple[int, int, int, int, bool]:
+    return (
+        usage.admitted,
+        round(usage.demand_per_second * 10),
+        round(usage.level),
+        usage.period,
+        usage.pressed,
+    )
+
+
+def _decode_usage(fields: Sequence[Any]) -> OrganisationUsage:
+    admitted, tenths, level, period, pressed = fields
+    return OrganisationUsage(
+        int(admitted), int(tenths) / 10, float(level), int(period), bool(pressed)
+    )
--- a/egrethall/fleet/_silence.py
+++ b/egrethall/fleet/_silence.py
@@ -6,8 +6,8 @@
 #: everyone; a larger fleet is reached in turn, so that the cost of a round is bounded.
 MAX_RECIPIENTS = 24
 
-#: The same in a fleet that is too large for one round. Instances that share a pressed
-#: allowance hear of each other in each round besides.
+#: The same in a fleet that is too large for one round. What is urgent is passed on by
+#: those that hear of it and reaches 8 x 8 instances in the second round.
 RECIPIENTS_IN_TURN = 8
 
 #: An instance that was not heard for so long, in rounds that reach it, is silent. One
--- a/egrethall/fleet/tests/steps/member_steps.py
+++ b/egrethall/fleet/tests/steps/member_steps.py
@@ -10,6 +10,7 @@
     Heartbeat,
     MalformedHeartbeatError,
     OrganisationUsage,
+    RelayedUsage,
     decode_heartbeat,
     encode_heartbeat,
 )
@@ -61,7 +62,7 @@
             self.clock.advance(ROUND_SECONDS)
             for number, members in enumerate(self.members):
                 members.forget_expired()
-                addresses = members.choose_recipients(frozenset())
+                addresses = members.choose_recipients()
                 self.largest_round = max(self.largest_round, len(addresses))
                 for address in addresses:
                     self.deliver(number, address)
@@ -166,9 +167,13 @@
         412,
         reading=True,
         since_outage_seconds=0.5,
-        usage={"cuka": OrganisationUsage(12, 3.5, -4.0, 3)},
+        usage={"cuka": OrganisationUsage(12, 3.5, -4.0, 3, True)},
         crashes=((b"12345678", "i-1"),),
         members=(("entry-2", "10.0.0.2:80"),),
+        sequence=9,
+        relayed=(
+            RelayedUsage("entry-3", 5, 8, "cuka", OrganisationUsage(4, 1.5, 2.0, 1)),
+        ),
     )
     context.decoded = decode_heartbeat(encode_heartbeat(context.heartbeat))
 
--- a/egrethall/quota/_allowance.py
+++ b/egrethall/quota/_allowance.py
@@ -22,9 +22,6 @@
 PRESSED_LEVEL_RATIO = 0.5
 PRESSED_DEMAND_RATIO = 0.2
 
-#: Time between two reports to all instances while an organisation is pressed.
-WIDE_REPORT_SECONDS = 4.0
-
 #: Part of an even share that an instance keeps although it reports no demand.
 MIN_SHARE_RATIO = 0.5
 
@@ -32,6 +29,9 @@
 #: of a cut must come to nearly the same shares, so it evens out a second's chance.
 STEADY_WEIGHT = 0.2
 
+#: Demand below which nothing is reported and remembered.
+NO_DEMAND_PER_SECOND = 0.01
+
 #: Time for which the share of a silent instance stays as it was when it fell silent.
 #: Longer than a zone takes to come back. From then on the share shrinks as the demand
 #: here grows, so that the last instance of a fleet is not held to its old part.
@@ -79,6 +79,7 @@
     """What another instance has last reported."""
 
     run: int
+    sequence: int
     period: int
     admitted: int
     demand_per_second: float
@@ -127,6 +128,9 @@
         self._period = 0
         self._admitted_in_round = 0
         self._admitted_at_seconds = float("-inf")
+        #: Clock reading of the first request in this period.
+        self._in_use_at_seconds = now_seconds
+        self._report_seconds = 0.0
         self._round_limit = self._level + self._room
         self._demand_per_second = 0.0
         self._steady_demand = _SteadyDemand()
@@ -134,7 +138,6 @@
         self._knows_level = full
         #: Part of the allowance that is set aside for silent instances.
         self._share_aside = 0.0
-        self._wide_report_at_seconds = float("-inf")
 
     @property
     def unlimited(self) -> bool:
@@ -151,27 +154,6 @@
             or self._demand_per_second > PRESSED_DEMAND_RATIO * self._rate_per_second
         )
 
-    def take_wide_report(self) -> bool:
-        """Returns whether all instances must hear of this one now.
-
-        They learn that it shares a pressed allowance; those that share it, too, then
-        report to each other in each round.
-        """
-        if not self.pressed:
-            return False
-        if self._now_seconds - self._wide_report_at_seconds < WIDE_REPORT_SECONDS:
-            return False
-        self._wide_report_at_seconds = self._now_seconds
-        return True
-
-    def find_sharers(self) -> frozenset[str]:
-        """Returns the instances that share the allowance, if it is pressed."""
-        if not self.pressed:
-            return frozenset()
-        return frozenset(
-            name for name, peer in self._peers.items() if peer.demand_per_second > 0
-        )
-
     @property
     def usage(self) -> OrganisationUsage:
         """What this instance reports of itself."""
@@ -179,7 +161,7 @@
         # instance that takes it over has the whole room.
         level = self._tokens - self._room
         return OrganisationUsage(
-            self._admitted, self._demand_per_second, level, self._period
+            self._admitted, self._demand_per_second, level, self._period, self.pressed
         )
 
     @property
@@ -229,6 +211,7 @@
             left out of heartbeats and its count begins anew.
         """
         self._advance(now_seconds)
+        self._report_seconds = report_seconds
         if self._admitted and now_seconds - self._admitted_at_seconds > report_seconds:
             self._admitted = 0
             self._period += 1
@@ -239,15 +222,26 @@
         self._round_limit = max(0.0, self._tokens)
 
     def observe(
-        self, name: str, run: int, usage: OrganisationUsage, *, heard_before: bool
-    ) -> None:
+        self,
+        name: str,
+        run: int,
+        sequence: int,
+        usage: OrganisationUsage,
+        *,
+        heard_before: bool,
+    ) -> bool:
         """Charges what another instance has admitted since its last report.
 
         :param heard_before: True if this run of it was heard before, so that what it
             did not report then, it had not admitted.
+        :return: False for a report that is older than what is known.
         """
-        peer = _PeerUsage(run, usage.period, usage.admitted, usage.demand_per_second)
         known = self._peers.get(name)
+        if known is not None and known.run == run and sequence <= known.sequence:
+            return False
+        peer = _PeerUsage(
+            run, sequence, usage.period, usage.admitted, usage.demand_per_second
+        )
         if known is not None:
             peer.steady_demand = known.steady_demand
         peer.steady_demand.add(usage.demand_per_second)
@@ -262,19 +256,26 @@
         if known is not None and (known.run, known.period) == (run, usage.period):
             before = known.admitted
         self._charge(max(0.0, usage.admitted - before))
+        return True
 
-    def observe_idle(self, name: str, run: int) -> None:
+    def observe_idle(self, name: str, run: int, sequence: int) -> bool:
         """Learns that another instance has no request of the organisation.
 
         It has a share all the same: its first request may come behind a cut.
+
+        :return: True if the next report that it has none would change nothing.
         """
-        peer = self._peers.setdefault(name, _PeerUsage(run, 0, 0, 0.0))
+        peer = self._peers.setdefault(name, _PeerUsage(run, sequence, 0, 0, 0.0))
+        if peer.run == run and sequence < peer.sequence:
+            return False
         self._take_back(peer, used_up=peer.run != run)
         if peer.run != run:
             # The new process has not admitted anything yet.
             peer.run, peer.period, peer.admitted = run, 0, 0
+        peer.sequence = sequence
         peer.demand_per_second = 0.0
         peer.steady_demand.add(0.0)
+        return peer.steady_demand.per_second < NO_DEMAND_PER_SECOND
 
     def forget(self, name: str) -> None:
         """Drops an instance that left or was given up."""
@@ -295,6 +296,8 @@
         total = self._steady_demand.per_second + sum(
             peer.steady_demand.per_second for peer in heard
         )
+        in_use_seconds = self._now_seconds - self._in_use_at_seconds
+        knows_demand = in_use_seconds >= self._report_seconds
         left = 1.0 - self._share_aside
         tokens = max(0.0, self._tokens)
         for name in silent:
@@ -302,7 +305,9 @@
             if peer is None or peer.silent_at_seconds is not None:
                 continue
             even = 1.0 / (1 + len(heard))
-            part = peer.steady_demand.per_second / total if total > 0 else even
+            part = even
+            if total > 0 and knows_demand:
+                part = (even + peer.steady_demand.per_second / total) / 2
             peer.silent_at_seconds = self._now_seconds
             peer.share = left * part
             peer.reserved = tokens * part
@@ -341,6 +346,8 @@
             peer.share = share
 
     def _count_admitted(self) -> None:
+        if not self._admitted:
+            self._in_use_at_seconds = self._now_seconds
         self._admitted += 1
         self._admitted_in_round += 1
         self._admitted_at_seconds = self._now_seconds
--- a/egrethall/quota/_book.py
+++ b/egrethall/quota/_book.py
@@ -1,9 +1,11 @@
 """The allowances of all organisations in one instance."""
 
 from collections.abc import Mapping
+from dataclasses import dataclass
 
-from egrethall.fleet import Heartbeat, OrganisationUsage
+from egrethall.fleet import ROUND_SECONDS, Heartbeat, OrganisationUsage, RelayedUsage
 from egrethall.quota._allowance import AllowanceExcess, OrganisationAllowance
+from egrethall.quota._relay import UsageRelay
 from egrethall.types import (
     Clock,
     PublishedConfiguration,
@@ -24,6 +26,19 @@
 REPORT_TURNS = 2.0
 
 
+@dataclass
+class _Peer:
+    """What is remembered of another instance beside its usage."""
+
+    #: The run in which it was heard of last.
+    run: int
+    #: Organisations of which its next heartbeat may change something, by reporting them
+    #: or not. The others are passed over, so that a heartbeat costs what it says.
+    watched: set[str]
+    #: False if this run is only known from what others pass on.
+    heard: bool = False
+
+
 class FleetAllowances:
     """Admits requests within the allowances and exchanges their usage.
 
@@ -38,14 +53,20 @@
         starts_full: bool,
         clock: Clock,
         random_source: RandomSource,
+        own_name: str,
     ) -> None:
+        self._own_name = own_name
         self._excess = excess
         self._starts_full = starts_full
         self._clock = clock
         self._random = random_source
         self._allowances: dict[str, OrganisationAllowance] = {}
-        #: The run in which each other instance was heard last.
-        self._runs: dict[str, int] = {}
+        self._peers: dict[str, _Peer] = {}
+        #: Names of the other instances that counted in the last round.
+        self._known: frozenset[str] = frozenset()
+        self._relay = UsageRelay(clock)
+        #: True in a fleet that one round of heartbeats does not reach.
+        self._relays = False
 
     def apply_configuration(self, configuration: PublishedConfiguration) -> None:
         """Adds, changes and removes allowances."""
@@ -65,6 +86,9 @@
             known.set_plan(plan.rate_per_second, plan.burst)
             kept[plan.name] = known
         self._allowances = kept
+        for peer in self._peers.values():
+            # The next heartbeat tells what it has of organisations that are new.
+            peer.watched = set(kept)
 
     def admit(self, organisation: str) -> None:
         """Takes one request's token; raises :class:`RefusedError` without one."""
@@ -93,23 +117,16 @@
         :param turn_seconds: time in which each other instance is told once.
         """
         now_seconds = self._clock.monotonic_seconds()
-        for name in self._runs.keys() - known:
+        for name in self._known - known:
             self._forget(name)
+        self._known = known
+        self._relays = turn_seconds > ROUND_SECONDS
+        for name in silent & self._peers.keys():
+            # Whatever it says next, its shares are given back.
+            self._peers[name].watched = set(self._allowances)
         for allowance in self._allowances.values():
             allowance.begin_round(now_seconds, silent, REPORT_TURNS * turn_seconds)
 
-    def find_sharers(self) -> frozenset[str] | None:
-        """Returns the instances that must hear now of what is admitted here.
-
-        None stands for all of them.
-        """
-        wide = [a.take_wide_report() for a in self._allowances.values()]
-        if any(wide):
-            return None
-        return frozenset().union(
-            *(allowance.find_sharers() for allowance in self._allowances.values())
-        )
-
     def find_usage(self) -> Mapping[str, OrganisationUsage]:
         """Returns what this instance has admitted, without the idle organisations."""
         return {
@@ -118,23 +135,62 @@
             if not allowance.idle
         }
 
+    def find_relayed(self) -> tuple[RelayedUsage, ...]:
+        """Returns what others have reported and the next heartbeat passes on."""
+        return self._relay.find_reports() if self._relays else ()
+
     def observe(self, heartbeat: Heartbeat) -> None:
-        """Charges what another instance reports."""
+        """Charges what another instance reports and passes on."""
         if heartbeat.leaving:
             self._forget(heartbeat.name)
             return
-        heard_before = self._runs.get(heartbeat.name) == heartbeat.run
-        self._runs[heartbeat.name] = heartbeat.run
-        for name, allowance in self._allowances.items():
-            usage = heartbeat.usage.get(name)
-            if usage is None:
-                allowance.observe_idle(heartbeat.name, heartbeat.run)
-                continue
-            allowance.observe(
-                heartbeat.name, heartbeat.run, usage, heard_before=heard_before
+        peer = self._peers.get(heartbeat.name)
+        if peer is None or peer.run != heartbeat.run:
+            peer = _Peer(heartbeat.run, set(self._allowances))
+            self._peers[heartbeat.name] = peer
+        heard_before, peer.heard = peer.heard, True
+        for organisation, usage in heartbeat.usage.items():
+            peer.watched.add(organisation)
+            report = RelayedUsage(
+                heartbeat.name, heartbeat.run, heartbeat.sequence, organisation, usage
             )
+            self._take(report, heard_before)
+        for organisation in peer.watched - heartbeat.usage.keys():
+            allowance = self._allowances.get(organisation)
+            if allowance is None or allowance.observe_idle(
+                heartbeat.name, heartbeat.run, heartbeat.sequence
+            ):
+                peer.watched.discard(organisation)
+        for report in heartbeat.relayed:
+            self._observe_relayed(report)
+
+    def _observe_relayed(self, report: RelayedUsage) -> None:
+        peer = self._peers.get(report.name)
+        if report.name == self._own_name or (peer and report.run < peer.run):
+            return
+        # What a process that replaces a known one has admitted, it admitted just now.
+        heard_before = peer is not None and (peer.heard or peer.run != report.run)
+        if peer is None or peer.run != report.run:
+            peer = _Peer(report.run, set(self._allowances))
+            self._peers[report.name] = peer
+        peer.watched.add(report.organisation)
+        self._take(report, heard_before)
+
+    def _take(self, report: RelayedUsage, heard_before: bool) -> None:
+        allowance = self._allowances.get(report.organisation)
+        if allowance is None:
+            return
+        is_news = allowance.observe(
+            report.name,
+            report.run,
+            report.sequence,
+            report.usage,
+            heard_before=heard_before,
+        )
+        if is_news and self._relays and report.usage.pressed:
+            self._relay.add(report)
 
     def _forget(self, name: str) -> None:
-        self._runs.pop(name, None)
+        self._peers.pop(name, None)
         for allowance in self._allowances.values():
             allowance.forget(name)
--- a/egrethall/quota/tests/allowances.feature
+++ b/egrethall/quota/tests/allowances.feature
@@ -130,3 +130,25 @@
     Given two instances without requests, of which one was started again
     When it falls silent and is heard again
     Then the other has all of its 10 tokens
+
+  Scenario: What is reported of a pressed organisation is passed on
+    Given instances a, b and c of a large fleet, and an allowance of 10
+    When a admits 8 requests, its heartbeat reaches b, and one of b reaches c
+    Then c has 2 tokens left
+    When one of c reaches a
+    Then a has 2 tokens left
+    When one of b reaches c again, and then the late one of a
+    Then c has 2 tokens left
+
+  Scenario: An old report of a process that was replaced is not passed on
+    Given instances a, b and c of a large fleet, and an allowance of 10
+    When a admits 8 requests, its heartbeat reaches b, and one of b reaches c
+    And a is replaced and its heartbeat reaches c
+    And one of b reaches c again
+    Then c knows only the new run of a
+
+  Scenario: Reports are passed on for three rounds only
+    Given instances a, b and c of a large fleet, and an allowance of 10
+    When a admits 8 requests, its heartbeat reaches b, and one of b reaches c
+    And 1.3 s pass
+    Then b passes nothing on
--- a/egrethall/quota/tests/steps/allowance_steps.py
+++ b/egrethall/quota/tests/steps/allowance_steps.py
@@ -48,8 +48,11 @@
         self.random = random.Random(7)
         self.now_seconds = 100.0
         self.names = [f"entry-{number}" for number in range(instances)]
+        self.clock = ManualClock(self.now_seconds)
         self.runs = dict.fromkeys(self.names, 1)
-        self.allowances = {name: self.make(full=True) for name in self.names}
+        self.sequences = dict.fromkeys(self.names, 0)
+        self.turn_seconds = count_turn_rounds(instances - 1) * ROUND_SECONDS
+        self.books = {name: self.make(name, full=True) for name in self.names}
         self.next_round = {
             name: self.now_seconds + self.random.random() * ROUND_SECONDS
             for name in self.names
@@ -58,15 +61,12 @@
         self.down_until = dict.fromkeys(self.names, 0.0)
         self.sides = dict.fromkeys(self.names, 0)
         self.loss_ratio = 0.0
-        self.known_runs = {name: set() for name in self.names}
         # Heartbeats have been exchanged for a while before the first request.
         for name in self.names:
+            heartbeat = self.compose(name)
             for peer in self.names:
-                self.deliver(name, peer, None)
-        everyone = {(name, 1) for name in self.names}
-        self.known_runs = {name: set(everyone) for name in self.names}
+                self.deliver(name, peer, heartbeat)
         self.turns = {}
-        self.turn_seconds = count_turn_rounds(instances - 1) * ROUND_SECONDS
         self.admitted_at = []
         self.refused_at = []
         self.event_at = None
@@ -76,9 +76,31 @@
         self.weights = [0.5 + self.random.random() for _ in callers]
         self.callers = callers
 
-    def make(self, full):
-        return OrganisationAllowance(
-            self.rate, self.burst, EXCESS, full, self.now_seconds
+    def make(self, name, full):
+        book = FleetAllowances(EXCESS, full, self.clock, self.random, name)
+        self.publish(book)
+        return book
+
+    def publish(self, book):
+        plan = PublishedOrganisation(
+            "atlas", frozenset({"key"}), None, self.rate, self.burst
+        )
+        limits = CallerLimits(1000, 1000, 1.0, 1.0)
+        book.apply_configuration(PublishedConfiguration(1, (), (), (plan,), limits))
+
+    def compose(self, name):
+        self.sequences[name] += 1
+        book = self.books[name]
+        return Heartbeat(
+            name,
+            self.runs[name],
+            "10.0.0.1:80",
+            "zone",
+            False,
+            1,
+            usage=book.find_usage(),
+            sequence=self.sequences[name],
+            relayed=book.find_relayed(),
         )
 
     def run(self, demand, seconds, event, after_seconds):
@@ -86,6 +108,7 @@
         self.event_at = event_at = self.now_seconds + after_seconds
         while self.now_seconds < end:
             self.now_seconds += TICK_SECONDS
+            self.clock.advance(TICK_SECONDS)
             if event and self.now_seconds >= event_at:
                 event()
                 event = None
@@ -101,10 +124,12 @@
         name = self.random.choices(self.callers, self.weights)[0]
         if self.now_seconds < self.down_until[name]:
             return
-        if self.allowances[name].try_admit(self.now_seconds):
-            self.admitted_at.append(self.now_seconds)
-        else:
+        try:
+            self.books[name].admit("atlas")
+        except RefusedError:
             self.refused_at.append(self.now_seconds)
+        else:
+            self.admitted_at.append(self.now_seconds)
 
     def exchange(self):
         for name in self.names:
@@ -113,14 +138,13 @@
             self.next_round[name] += ROUND_SECONDS
             if self.now_seconds < self.down_until[name]:
                 continue
-            silent = self.find_silent(name)
-            allowance = self.allowances[name]
-            allowance.begin_round(self.now_seconds, silent, 2 * self.turn_seconds)
-            sharers = allowance.find_sharers()
-            if allowance.take_wide_report():
-                sharers = None
-            for peer in self.choose_recipients(name, sharers):
-                self.deliver(name, peer, None if allowance.idle else allowance.usage)
+            others = frozenset(self.names) - {name}
+            self.books[name].begin_round(
+                others, self.find_silent(name), self.turn_seconds
+            )
+            heartbeat = self.compose(name)
+            for peer in self.choose_recipients(name):
+                self.deliver(name, peer, heartbeat)
 
     def find_silent(self, name):
         size = len(self.names) // self.zones
@@ -130,29 +154,23 @@
         }
         return find_silent(heard, self.now_seconds, ROUND_SECONDS)
 
-    def choose_recipients(self, name, sharers):
+    def choose_recipients(self, name):
         """A round reaches all of a small fleet, and a large one in turn."""
-        if len(self.names) <= MAX_RECIPIENTS or sharers is None:
+        if len(self.names) <= MAX_RECIPIENTS:
             return self.names
         start = self.turns.get(name, self.random.randrange(len(self.names)))
         self.turns[name] = start + RECIPIENTS_IN_TURN
         turn = range(start, start + RECIPIENTS_IN_TURN)
-        return {self.names[n % len(self.names)] for n in turn} | sharers
+        return [self.names[n % len(self.names)] for n in turn]
 
-    def deliver(self, name, peer, usage):
+    def deliver(self, name, peer, heartbeat):
         reachable = self.sides[name] == self.sides[peer]
         if peer == name or not reachable or self.random.random() < self.loss_ratio:
             return
         if self.now_seconds < self.down_until[peer]:
             return
-        run = self.runs[name]
-        heard_before = (name, run) in self.known_runs[peer]
-        self.known_runs[peer].add((name, run))
         self.heard[peer][name] = self.now_seconds
-        if usage is None:
-            self.allowances[peer].observe_idle(name, run)
-            return
-        self.allowances[peer].observe(name, run, usage, heard_before=heard_before)
+        self.books[peer].observe(heartbeat)
 
     def replace_all(self):
         self.replace(self.names)
@@ -161,8 +179,7 @@
         for name in names:
             self.runs[name] += 1
             self.heard[name] = {}
-            self.known_runs[name] = set()
-            self.allowances[name] = self.make(full=False)
+            self.books[name] = self.make(name, full=False)
             self.down_until[name] = self.now_seconds + RESTART_SECONDS
 
     def cut_off(self, count, together):
@@ -195,8 +212,9 @@
 
 @when("the plan is lowered to a rate of {rate:d} and a burst of {burst:d}")
 def step_impl(context, rate, burst):
-    for allowance in context.fleet.allowances.values():
-        allowance.set_plan(rate, burst)
+    context.fleet.rate, context.fleet.burst = rate, burst
+    for book in context.fleet.books.values():
+        context.fleet.publish(book)
 
 
 @when(
@@ -302,7 +320,9 @@
     )
     limits = CallerLimits(1000, 1000, 1.0, 1.0)
     context.clock = ManualClock()
-    context.book = FleetAllowances(EXCESS, True, context.clock, random.Random(7))
+    context.book = FleetAllowances(
+        EXCESS, True, context.clock, random.Random(7), "entry-1"
+    )
     context.book.apply_configuration(PublishedConfiguration(1, (), (), plans, limits))
 
 
@@ -359,7 +379,7 @@
     for _ in range(count):
         assert context.there.try_admit(60.0)
     context.here.begin_round(60.0, frozenset(), TURN_SECONDS)
-    context.here.observe("there", 1, context.there.usage, heard_before=True)
+    context.here.observe("there", 1, 1, context.there.usage, heard_before=True)
 
 
 @then("it charges {count:d}")
@@ -417,16 +437,109 @@
 def step_impl(context):
     context.here = OrganisationAllowance(10, 10, EXCESS, True, 0.0)
     for run in (1, 2):
-        context.here.observe_idle("there", run)
+        context.here.observe_idle("there", run, 1)
 
 
 @when("it falls silent and is heard again")
 def step_impl(context):
     context.here.begin_round(0.0, frozenset({"there"}), TURN_SECONDS)
     assert context.here.level < 10, context.here.level
-    context.here.observe_idle("there", 2)
+    context.here.observe_idle("there", 2, 2)
 
 
 @then("the other has all of its {count:d} tokens")
 def step_impl(context, count):
     assert context.here.level == count, context.here.level
+
+
+def make_heartbeat(context, name, run=1):
+    book = context.books[name]
+    context.sequence = getattr(context, "sequence", 0) + 1
+    return Heartbeat(
+        name,
+        run,
+        "10.0.0.1:80",
+        "east",
+        False,
+        1,
+        usage=book.find_usage(),
+        sequence=context.sequence,
+        relayed=book.find_relayed(),
+    )
+
+
+def find_level(context, name):
+    return context.books[name]._allowances["atlas"].level
+
+
+@given("instances a, b and c of a large fleet, and an allowance of {burst:d}")
+def step_impl(context, burst):
+    context.books = {}
+    context.clock = ManualClock()
+    plan = PublishedOrganisation("atlas", frozenset({"key"}), None, 0.001, burst)
+    limits = CallerLimits(1000, 1000, 1.0, 1.0)
+    configuration = PublishedConfiguration(1, (), (), (plan,), limits)
+    for name in ("a", "b", "c"):
+        book = FleetAllowances(EXCESS, True, context.clock, random.Random(7), name)
+        book.apply_configuration(configuration)
+        book.begin_round(frozenset({"a", "b", "c"}) - {name}, frozenset(), 8.75)
+        context.books[name] = book
+    # All have heard of each other before.
+    for name in context.books:
+        heartbeat = make_heartbeat(context, name)
+        for other in context.books.keys() - {name}:
+            context.books[other].observe(heartbeat)
+
+
+@when("a admits {count:d} requests, its heartbeat reaches b, and one of b reaches c")
+def step_impl(context, count):
+    for _ in range(count):
+        context.books["a"].admit("atlas")
+    context.late = make_heartbeat(context, "a")
+    context.books["b"].observe(context.late)
+    context.books["c"].observe(make_heartbeat(context, "b"))
+
+
+@when("one of c reaches a")
+def step_impl(context):
+    context.books["a"].observe(make_heartbeat(context, "c"))
+
+
+@when("one of b reaches c again")
+def step_impl(context):
+    context.books["c"].observe(make_heartbeat(context, "b"))
+
+
+@when("one of b reaches c again, and then the late one of a")
+def step_impl(context):
+    context.books["c"].observe(make_heartbeat(context, "b"))
+    context.books["c"].observe(context.late)
+
+
+@when("a is replaced and its heartbeat reaches c")
+def step_impl(context):
+    context.books["a"] = FleetAllowances(
+        EXCESS, False, context.clock, random.Random(7), "a"
+    )
+    context.books["c"].observe(make_heartbeat(context, "a", run=2))
+
+
+@when("{seconds:f} s pass")
+def step_impl(context, seconds):
+    context.clock.advance(seconds)
+
+
+@then("{name:w} has {count:d} tokens left")
+def step_impl(context, name, count):
+    level = find_level(context, name)
+    assert round(level) == count, level
+
+
+@then("c knows only the new run of a")
+def step_impl(context):
+    assert context.books["c"]._peers["a"].run == 2
+
+
+@then("b passes nothing on")
+def step_impl(context):
+    assert context.books["b"].find_relayed() == ()
