--- a/tools/run_features.py
+++ b/tools/run_features.py
@@ -23,9 +23,16 @@
 #: Upper bound on one feature's run; a hanging test fails instead of stopping CI.
 FEATURE_TIMEOUT_SECONDS = 900.0
 
-#: Features run at the same time. Some start fleets of processes, whose times must not
-#: depend on too many others.
-DEFAULT_JOBS = 4
+#: Packages whose features start fleets of processes.
+FLEET_PACKAGES = frozenset({"daemon", "entry", "soak"})
+
+#: Features with fleets of processes that run at the same time. Each fleet is a dozen
+#: processes whose answers have deadlines, so that two of them fill a machine of six
+#: cores.
+DEFAULT_FLEET_JOBS = 2
+
+#: Other features that run at the same time.
+DEFAULT_JOBS = 2
 
 
 @dataclass(frozen=True)
@@ -47,10 +54,7 @@
 
 
 def find_features(selected: list[str]) -> list[Path]:
-    """Returns the feature files, those that start processes first.
-
-    They take longest, and the others fill the time next to them.
-    """
+    """Returns the feature files."""
     features = sorted(
         path
         for path in ROOT.rglob("tests/*.feature")
@@ -62,7 +66,24 @@
             for path in features
             if any(word in str(path.relative_to(ROOT)) for word in selected)
         ]
-    return sorted(features, key=lambda path: "daemon" not in path.parts)
+    return features
+
+
+def starts_fleets(feature: Path) -> bool:
+    """Returns whether a feature starts fleets of processes."""
+    return not FLEET_PACKAGES.isdisjoint(feature.relative_to(ROOT).parts)
+
+
+def run_features(
+    features: list[Path], fleet_jobs: int, jobs: int
+) -> list[FeatureResult]:
+    """Runs the features, those with fleets beside the others."""
+    with ThreadPoolExecutor(fleet_jobs) as fleets, ThreadPoolExecutor(jobs) as others:
+        running = [
+            (fleets if starts_fleets(feature) else others).submit(run_feature, feature)
+            for feature in features
+        ]
+        return [result.result() for result in running]
 
 
 def read_known_faults() -> frozenset[str]:
@@ -83,7 +104,9 @@
         for element in feature.get("elements", []):
             if element["type"] == "background":
                 continue
-            yield ScenarioResult(element["name"], element.get("status") == "passed")
+            yield ScenarioResult(
+                element["name"].strip(), element.get("status") == "passed"
+            )
 
 
 def run_feature(feature: Path) -> FeatureResult:
@@ -142,11 +165,16 @@
     parser.add_argument(
         "--jobs", type=int, default=DEFAULT_JOBS, help="features at the same time"
     )
+    parser.add_argument(
+        "--fleet-jobs",
+        type=int,
+        default=DEFAULT_FLEET_JOBS,
+        help="features with fleets of processes at the same time",
+    )
     arguments = parser.parse_args()
     known_faults = read_known_faults()
     features = find_features(arguments.selected)
-    with ThreadPoolExecutor(arguments.jobs) as pool:
-        results = list(pool.map(run_feature, features))
+    results = run_features(features, arguments.fleet_jobs, arguments.jobs)
     for result in results:
         print_result(result, known_faults)
     scenarios = [scenario for result in results for scenario in result.scenarios]
