Poll the sockets less often while callbacks wait

Ruled out: uvloop, which polls as often.

A selector that skips up to eight polls with a timeout of zero in a row.

--- a/egrethall/entry/_daemon.py
+++ b/egrethall/entry/_daemon.py
@@ -19,6 +19,7 @@
     Serving,
     ServingState,
 )
+from egrethall.entry._event_loop import make_event_loop
 from egrethall.entry._hedger import Hedger
 from egrethall.entry._logs import configure_entry_logs
 from egrethall.entry._metrics import RequestMetrics
@@ -275,4 +276,7 @@
 def run_entry(settings: EntrySettings, settings_path: Path) -> None:
     """Runs an entry instance until SIGTERM."""
     configure_entry_logs()
-    anyio.run(EntryDaemon(settings, settings_path).run)
+    anyio.run(
+        EntryDaemon(settings, settings_path).run,
+        backend_options={"loop_factory": make_event_loop},
+    )
