Forget instances that left although late reports of them are passed on

Cause, found by reading: an instance that leaves is dropped at once, and a report of it that is passed on afterwards set it up again for good, with the demand that it had then. Its part of a shared allowance would have been kept from the others.

Reports of instances that are not known count for 5 s. The scenario 'Late reports of an instance that left do not keep its share' failed before.

The socket that sends heartbeats is opened with the exchange, and a fault in binding it is translated like the other one's.

--- a/egrethall/fleet/_gossip.py
+++ b/egrethall/fleet/_gossip.py
@@ -31,9 +31,9 @@
 #: Time after which changed records are announced once more.
 ANNOUNCE_AGAIN_SECONDS = 0.15
 
-#: Instances of other zones that a round tells what is passed on; the rest of them hear
-#: of the sender only. Bytes between zones are paid for, and the zone of the one tells
-#: its own.
+#: Instances of other zones that a round sends the relayed reports to; the others get
+#: the sender's own only. Bytes between zones are paid for, and the one that has the
+#: reports passes them on in its zone.
 FAR_RECIPIENTS_OF_RELAYED = 1
 
 logger = structlog.get_logger(__name__)
@@ -68,19 +68,19 @@
         self._begin_round = begin_round
         self._receive = receive
         self._malformed = 0
-        self._sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self._sender.setblocking(False)
+        self._sender: socket.socket | None = None
         self._news = anyio.Event()
 
     async def run(self) -> None:
         """Exchanges heartbeats until cancelled; raises :class:`FleetSocketError`."""
         host, port = split_address(self._address)
-        try:
-            udp = await anyio.create_udp_socket(local_host=host, local_port=port)
-        except OSError as error:
-            raise FleetSocketError(f"{self._address}: {error}") from error
-        with self._sender:
-            self._sender.bind((host, 0))
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as self._sender:
+            self._sender.setblocking(False)
+            try:
+                self._sender.bind((host, 0))
+                udp = await anyio.create_udp_socket(local_host=host, local_port=port)
+            except OSError as error:
+                raise FleetSocketError(f"{self._address}: {error}") from error
             await self._exchange(udp)
 
     async def _exchange(self, udp: UDPSocket) -> None:
@@ -104,7 +104,9 @@
         whole = encode_heartbeat(heartbeat)
         for address in (*near, *far[:FAR_RECIPIENTS_OF_RELAYED]):
             self._send(whole, address)
-        brief = encode_heartbeat(replace(heartbeat, relayed=()))
+        brief = whole
+        if heartbeat.relayed:
+            brief = encode_heartbeat(replace(heartbeat, relayed=()))
         for address in far[FAR_RECIPIENTS_OF_RELAYED:]:
             self._send(brief, address)
 
@@ -145,6 +147,8 @@
             self._receive(heartbeat)
 
     def _send(self, datagram: bytes, address: str) -> None:
+        if self._sender is None:
+            return
         # The kernel takes a datagram at once or not at all, and a lost one is replaced
         # by the next. Sending without a task saves two rounds of the loop each.
         try:
--- a/egrethall/quota/_book.py
+++ b/egrethall/quota/_book.py
@@ -20,6 +20,10 @@
 MIN_RETRY_AFTER_SECONDS = 0.1
 MAX_RETRY_AFTER_SECONDS = 2.0
 
+#: Time for which the reports of an instance count that is not known, or no more. Longer
+#: than reports are passed on, and than an instance takes to be known that has started.
+UNKNOWN_PEER_SECONDS = 5.0
+
 #: Turns for which an organisation is reported after its last request, so that each
 #: instance hears of it although a datagram is lost. Heartbeats then do not grow with
 #: the number of organisations.
@@ -35,6 +39,8 @@
     #: Organisations of which its next heartbeat may change something, by reporting them
     #: or not. The others are passed over, so that a heartbeat costs what it says.
     watched: set[str]
+    #: Clock reading of the last report by it or of it.
+    heard_at_seconds: float
     #: False if this run is only known from what others pass on.
     heard: bool = False
 
@@ -62,8 +68,6 @@
         self._random = random_source
         self._allowances: dict[str, OrganisationAllowance] = {}
         self._peers: dict[str, _Peer] = {}
-        #: Names of the other instances that counted in the last round.
-        self._known: frozenset[str] = frozenset()
         self._relay = UsageRelay(clock)
         #: True in a fleet that one round of heartbeats does not reach.
         self._relays = False
@@ -111,15 +115,18 @@
     ) -> None:
         """Starts a round of heartbeats.
 
-        :param known: names of the other instances that count; what the rest of them
-            reported is dropped.
+        :param known: names of the other instances that count; what others reported is
+            dropped after :data:`UNKNOWN_PEER_SECONDS`.
         :param silent: names of those that have fallen silent.
         :param turn_seconds: time in which each other instance is told once.
         """
         now_seconds = self._clock.monotonic_seconds()
-        for name in self._known - known:
-            self._forget(name)
-        self._known = known
+        for name in self._peers.keys() - known:
+            # Reports are passed on of instances that are not known yet, and for a
+            # moment of those that have left.
+            heard_at_seconds = self._peers[name].heard_at_seconds
+            if now_seconds - heard_at_seconds > UNKNOWN_PEER_SECONDS:
+                self._forget(name)
         self._relays = turn_seconds > ROUND_SECONDS
         for name in silent & self._peers.keys():
             # Whatever it says next, its shares are given back.
@@ -144,10 +151,7 @@
         if heartbeat.leaving:
             self._forget(heartbeat.name)
             return
-        peer = self._peers.get(heartbeat.name)
-        if peer is None or peer.run != heartbeat.run:
-            peer = _Peer(heartbeat.run, set(self._allowances))
-            self._peers[heartbeat.name] = peer
+        peer = self._find_peer(heartbeat.name, heartbeat.run)
         heard_before, peer.heard = peer.heard, True
         for organisation, usage in heartbeat.usage.items():
             peer.watched.add(organisation)
@@ -170,12 +174,20 @@
             return
         # What a process that replaces a known one has admitted, it admitted just now.
         heard_before = peer is not None and (peer.heard or peer.run != report.run)
-        if peer is None or peer.run != report.run:
-            peer = _Peer(report.run, set(self._allowances))
-            self._peers[report.name] = peer
+        peer = self._find_peer(report.name, report.run)
         peer.watched.add(report.organisation)
         self._take(report, heard_before)
 
+    def _find_peer(self, name: str, run: int) -> _Peer:
+        """Returns what is remembered of an instance that is heard of now."""
+        now_seconds = self._clock.monotonic_seconds()
+        peer = self._peers.get(name)
+        if peer is None or peer.run != run:
+            peer = _Peer(run, set(self._allowances), now_seconds)
+            self._peers[name] = peer
+        peer.heard_at_seconds = now_seconds
+        return peer
+
     def _take(self, report: RelayedUsage, heard_before: bool) -> None:
         allowance = self._allowances.get(report.organisation)
         if allowance is None:
--- a/egrethall/quota/tests/allowances.feature
+++ b/egrethall/quota/tests/allowances.feature
@@ -152,3 +152,10 @@
     When a admits 8 requests, its heartbeat reaches b, and one of b reaches c
     And 1.3 s pass
     Then b passes nothing on
+
+  Scenario: Late reports of an instance that left do not keep its share
+    Given instances a, b and c of a large fleet, and an allowance of 10
+    When a admits 8 requests and its heartbeat reaches b
+    And a leaves, a round begins at c, and one of b reaches c after that
+    And 6.0 s pass and a round begins at c, which knows b only
+    Then c has nothing set down for a
--- a/egrethall/quota/tests/steps/allowance_steps.py
+++ b/egrethall/quota/tests/steps/allowance_steps.py
@@ -1,4 +1,5 @@
 import random
+from dataclasses import replace
 
 from behave import given, then, when
 
@@ -543,3 +544,32 @@
 @then("b passes nothing on")
 def step_impl(context):
     assert context.books["b"].find_relayed() == ()
+
+
+@when("a admits {count:d} requests and its heartbeat reaches b")
+def step_impl(context, count):
+    for _ in range(count):
+        context.books["a"].admit("atlas")
+    context.books["b"].observe(make_heartbeat(context, "a"))
+
+
+@when("a leaves, a round begins at c, and one of b reaches c after that")
+def step_impl(context):
+    last = replace(make_heartbeat(context, "a"), leaving=True)
+    context.books["c"].observe(last)
+    context.books["c"].begin_round(frozenset({"b"}), frozenset(), 8.75)
+    context.books["c"].observe(make_heartbeat(context, "b"))
+    assert "a" in context.books["c"]._peers
+
+
+@when("{seconds:f} s pass and a round begins at c, which knows b only")
+def step_impl(context, seconds):
+    context.clock.advance(seconds)
+    context.books["c"].begin_round(frozenset({"b"}), frozenset(), 8.75)
+
+
+@then("c has nothing set down for a")
+def step_impl(context):
+    book = context.books["c"]
+    assert "a" not in book._peers
+    assert "a" not in book._allowances["atlas"]._peers
