--- a/tools/run_features.py
+++ b/tools/run_features.py
@@ -27,9 +27,9 @@
 FLEET_PACKAGES = frozenset({"daemon", "entry", "soak"})
 
 #: Features with fleets of processes that run at the same time. Each fleet is a dozen
-#: processes whose answers have deadlines, so that two of them fill a machine of six
+#: processes whose answers have deadlines, which do not hold beside another fleet on six
 #: cores.
-DEFAULT_FLEET_JOBS = 2
+DEFAULT_FLEET_JOBS = 1
 
 #: Other features that run at the same time.
 DEFAULT_JOBS = 2
