Look for silent and expired instances only when there may be some

Each round computed the silent instances once more to forget expired ones, of which there mostly are none, and summed up all demand to set shares aside for instances that had been set aside long before. The even share does not change within the loop, and the instances that are heard are found in one place. The selector copied each list of ready sockets.

--- a/egrethall/entry/_event_loop.py
+++ b/egrethall/entry/_event_loop.py
@@ -29,7 +29,7 @@
             self._rounds += 1
             return []
         self._rounds = 0
-        return list(super().select(timeout))
+        return super().select(timeout)
 
 
 def make_event_loop() -> asyncio.AbstractEventLoop:
--- a/egrethall/fleet/_members.py
+++ b/egrethall/fleet/_members.py
@@ -99,12 +99,16 @@
         An instance that hears less than half of those it knows is probably cut off
         itself and keeps all of them.
         """
-        now_seconds = self._clock.monotonic_seconds()
-        if len(self.find_silent()) * 2 > len(self._members) + 1:
+        oldest_seconds = self._clock.monotonic_seconds() - FORGET_SECONDS
+        expired = [
+            member.name
+            for member in self._members.values()
+            if member.heard_at_seconds < oldest_seconds
+        ]
+        if not expired or len(self.find_silent()) * 2 > len(self._members) + 1:
             return
-        for member in tuple(self._members.values()):
-            if now_seconds - member.heard_at_seconds > FORGET_SECONDS:
-                del self._members[member.name]
+        for name in expired:
+            del self._members[name]
 
     def choose_recipients(self) -> tuple[list[str], list[str]]:
         """Returns the addresses of the next round of heartbeats.
--- a/egrethall/fleet/_messages.py
+++ b/egrethall/fleet/_messages.py
@@ -115,8 +115,8 @@
         if version != FORMAT_VERSION:
             raise MalformedHeartbeatError(f"a heartbeat has format {version!r}")
         name, run, address, zone, leaving, revision, *rest = fields
-        reading, since_outage_seconds, usage, crashes, members, *rest = rest
-        sequence, relayed = rest
+        reading, since_outage_seconds, usage, crashes, *rest = rest
+        members, sequence, relayed = rest
         return Heartbeat(
             name=str(name),
             run=int(run),
--- a/egrethall/quota/_allowance.py
+++ b/egrethall/quota/_allowance.py
@@ -283,6 +283,9 @@
         if known is not None:
             self._take_back(known, used_up=True)
 
+    def _find_heard(self) -> list[_PeerUsage]:
+        return [p for p in self._peers.values() if p.silent_at_seconds is None]
+
     @property
     def _tokens(self) -> float:
         """What may be admitted on this side of a cut, planned excess included."""
@@ -290,9 +293,14 @@
 
     def _set_aside(self, silent: frozenset[str]) -> None:
         """Sets the shares of instances aside that have fallen silent."""
-        if not silent:
+        fallen = [
+            peer
+            for name in silent
+            if (peer := self._peers.get(name)) and peer.silent_at_seconds is None
+        ]
+        if not fallen:
             return
-        heard = [p for p in self._peers.values() if p.silent_at_seconds is None]
+        heard = self._find_heard()
         total = self._steady_demand.per_second + sum(
             peer.steady_demand.per_second for peer in heard
         )
@@ -300,11 +308,8 @@
         knows_demand = in_use_seconds >= self._report_seconds
         left = 1.0 - self._share_aside
         tokens = max(0.0, self._tokens)
-        for name in silent:
-            peer = self._peers.get(name)
-            if peer is None or peer.silent_at_seconds is not None:
-                continue
-            even = 1.0 / (1 + len(heard))
+        even = 1.0 / (1 + len(heard))
+        for peer in fallen:
             part = even
             if total > 0 and knows_demand:
                 part = (even + peer.steady_demand.per_second / total) / 2
@@ -370,7 +375,7 @@
 
     def _find_own_share(self) -> float:
         """Returns this instance's part of what is not set aside."""
-        heard = [p for p in self._peers.values() if p.silent_at_seconds is None]
+        heard = self._find_heard()
         total = self._demand_per_second + sum(p.demand_per_second for p in heard)
         smallest = MIN_SHARE_RATIO / (1 + len(heard))
         if total <= 0:
