Hand reports of usage on as what they are

An allowance took apart the report that the book had just put together, field by field. It takes the report now, which is called UsageReport, since an instance's own are handled the same way as those that others pass on. Behaviour is the same.

--- a/egrethall/fleet/__init__.py
+++ b/egrethall/fleet/__init__.py
@@ -14,7 +14,7 @@
     Heartbeat,
     MalformedHeartbeatError,
     OrganisationUsage,
-    RelayedUsage,
+    UsageReport,
     decode_heartbeat,
     encode_heartbeat,
 )
@@ -41,7 +41,7 @@
     "ROUND_SECONDS",
     "RecordServer",
     "RecordSources",
-    "RelayedUsage",
+    "UsageReport",
     "count_turn_rounds",
     "decode_heartbeat",
     "encode_heartbeat",
--- a/egrethall/fleet/_messages.py
+++ b/egrethall/fleet/_messages.py
@@ -36,8 +36,8 @@
 
 
 @dataclass(frozen=True)
-class RelayedUsage:
-    """What an instance has reported for one organisation, passed on by another."""
+class UsageReport:
+    """What an instance has reported for one organisation, itself or through another."""
 
     name: str
     run: int
@@ -72,7 +72,7 @@
     #: Number of this heartbeat in the run.
     sequence: int = 0
     #: What others have reported of pressed organisations.
-    relayed: tuple[RelayedUsage, ...] = ()
+    relayed: tuple[UsageReport, ...] = ()
 
 
 def encode_heartbeat(heartbeat: Heartbeat) -> bytes:
@@ -136,7 +136,7 @@
             members=tuple((str(peer), str(where)) for peer, where in members),
             sequence=int(sequence),
             relayed=tuple(
-                RelayedUsage(
+                UsageReport(
                     str(name),
                     int(run),
                     int(number),
--- a/egrethall/fleet/tests/steps/member_steps.py
+++ b/egrethall/fleet/tests/steps/member_steps.py
@@ -14,7 +14,7 @@
     MalformedHeartbeatError,
     OrganisationUsage,
     RecordSources,
-    RelayedUsage,
+    UsageReport,
     decode_heartbeat,
     encode_heartbeat,
 )
@@ -181,7 +181,7 @@
         members=(("entry-2", "10.0.0.2:80"),),
         sequence=9,
         relayed=(
-            RelayedUsage("entry-3", 5, 8, "cuka", OrganisationUsage(4, 1.5, 2.0, 1)),
+            UsageReport("entry-3", 5, 8, "cuka", OrganisationUsage(4, 1.5, 2.0, 1)),
         ),
     )
     context.decoded = decode_heartbeat(encode_heartbeat(context.heartbeat))
--- a/egrethall/quota/_allowance.py
+++ b/egrethall/quota/_allowance.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from egrethall.fleet import OrganisationUsage
+from egrethall.fleet import OrganisationUsage, UsageReport
 
 #: Share of the tolerated excess that is planned for. The rest covers requests of
 #: other instances that this one has not heard of yet.
@@ -221,26 +221,19 @@
         self._admitted_in_round = 0
         self._round_limit = max(0.0, self._tokens)
 
-    def observe(
-        self,
-        name: str,
-        run: int,
-        sequence: int,
-        usage: OrganisationUsage,
-        *,
-        heard_before: bool,
-    ) -> bool:
+    def observe(self, report: UsageReport, *, heard_before: bool) -> bool:
         """Charges what another instance has admitted since its last report.
 
         :param heard_before: True if this run of it was heard before, so that what it
             did not report then, it had not admitted.
         :return: False for a report that is older than what is known.
         """
-        known = self._peers.get(name)
-        if known is not None and known.run == run and sequence <= known.sequence:
+        run, usage = report.run, report.usage
+        known = self._peers.get(report.name)
+        if known is not None and known.run == run and report.sequence <= known.sequence:
             return False
         peer = _PeerUsage(
-            run, sequence, usage.period, usage.admitted, usage.demand_per_second
+            run, report.sequence, usage.period, usage.admitted, usage.demand_per_second
         )
         if known is not None:
             peer.steady_demand = known.steady_demand
@@ -250,7 +243,7 @@
             self._level = max(self._level, min(usage.level, self._burst))
         if known is not None:
             self._take_back(known, used_up=known.run != run)
-        self._peers[name] = peer
+        self._peers[report.name] = peer
         # What a new acquaintance did before is in the level that was taken over.
         before = 0 if heard_before else usage.admitted
         if known is not None and (known.run, known.period) == (run, usage.period):
--- a/egrethall/quota/_book.py
+++ b/egrethall/quota/_book.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from egrethall.fleet import ROUND_SECONDS, Heartbeat, OrganisationUsage, RelayedUsage
+from egrethall.fleet import ROUND_SECONDS, Heartbeat, OrganisationUsage, UsageReport
 from egrethall.quota._allowance import AllowanceExcess, OrganisationAllowance
 from egrethall.quota._relay import UsageRelay
 from egrethall.types import (
@@ -142,7 +142,7 @@
             if not allowance.idle
         }
 
-    def find_relayed(self) -> tuple[RelayedUsage, ...]:
+    def find_relayed(self) -> tuple[UsageReport, ...]:
         """Returns what others have reported and the next heartbeat passes on."""
         return self._relay.find_reports() if self._relays else ()
 
@@ -155,7 +155,7 @@
         heard_before, peer.heard = peer.heard, True
         for organisation, usage in heartbeat.usage.items():
             peer.watched.add(organisation)
-            report = RelayedUsage(
+            report = UsageReport(
                 heartbeat.name, heartbeat.run, heartbeat.sequence, organisation, usage
             )
             self._take(report, heard_before)
@@ -168,7 +168,7 @@
         for report in heartbeat.relayed:
             self._observe_relayed(report)
 
-    def _observe_relayed(self, report: RelayedUsage) -> None:
+    def _observe_relayed(self, report: UsageReport) -> None:
         peer = self._peers.get(report.name)
         if report.name == self._own_name or (peer and report.run < peer.run):
             return
@@ -188,17 +188,11 @@
         peer.heard_at_seconds = now_seconds
         return peer
 
-    def _take(self, report: RelayedUsage, heard_before: bool) -> None:
+    def _take(self, report: UsageReport, heard_before: bool) -> None:
         allowance = self._allowances.get(report.organisation)
         if allowance is None:
             return
-        is_news = allowance.observe(
-            report.name,
-            report.run,
-            report.sequence,
-            report.usage,
-            heard_before=heard_before,
-        )
+        is_news = allowance.observe(report, heard_before=heard_before)
         if is_news and self._relays and report.usage.pressed:
             self._relay.add(report)
 
--- a/egrethall/quota/_relay.py
+++ b/egrethall/quota/_relay.py
@@ -6,7 +6,7 @@
 
 from collections import OrderedDict
 
-from egrethall.fleet import RelayedUsage
+from egrethall.fleet import UsageReport
 from egrethall.types import Clock
 
 #: Time for which a report is passed on: three rounds of heartbeats, in which it reaches
@@ -23,17 +23,17 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         #: By instance and organisation, the oldest first, with the time of hearing.
-        self._reports: OrderedDict[tuple[str, str], tuple[float, RelayedUsage]] = (
+        self._reports: OrderedDict[tuple[str, str], tuple[float, UsageReport]] = (
             OrderedDict()
         )
 
-    def add(self, report: RelayedUsage) -> None:
+    def add(self, report: UsageReport) -> None:
         """Passes a report on that has just been heard for the first time."""
         key = (report.name, report.organisation)
         self._reports[key] = (self._clock.monotonic_seconds(), report)
         self._reports.move_to_end(key)
 
-    def find_reports(self) -> tuple[RelayedUsage, ...]:
+    def find_reports(self) -> tuple[UsageReport, ...]:
         """Returns what the next heartbeat passes on."""
         oldest_seconds = self._clock.monotonic_seconds() - RELAY_SECONDS
         while self._reports:
--- a/egrethall/quota/tests/steps/allowance_steps.py
+++ b/egrethall/quota/tests/steps/allowance_steps.py
@@ -9,6 +9,7 @@
     ROUND_SECONDS,
     Heartbeat,
     OrganisationUsage,
+    UsageReport,
     count_turn_rounds,
     find_silent,
 )
@@ -380,7 +381,8 @@
     for _ in range(count):
         assert context.there.try_admit(60.0)
     context.here.begin_round(60.0, frozenset(), TURN_SECONDS)
-    context.here.observe("there", 1, 1, context.there.usage, heard_before=True)
+    report = UsageReport("there", 1, 1, "atlas", context.there.usage)
+    context.here.observe(report, heard_before=True)
 
 
 @then("it charges {count:d}")
