Name failed scenarios at the end of a run, and pass over the build's copy of the package

In a working tree where the deploy file's build has run, each feature of the package ran twice: 140 scenarios for quota and fleet instead of 70.

--- a/tools/run_features.py
+++ b/tools/run_features.py
@@ -20,6 +20,9 @@
 KNOWN_FAULTS_FILE = ROOT / "KNOWN-RED.txt"
 KNOWN_FAULT_PREFIX = "scenario: "
 
+#: Where the deploy file's build puts its copy of the package.
+BUILD_FOLDER = "target"
+
 #: Upper bound on one feature's run; a hanging test fails instead of stopping CI.
 FEATURE_TIMEOUT_SECONDS = 900.0
 
@@ -54,11 +57,14 @@
 
 
 def find_features(selected: list[str]) -> list[Path]:
-    """Returns the feature files."""
+    """Returns the feature files, without copies in hidden and build folders."""
     features = sorted(
         path
         for path in ROOT.rglob("tests/*.feature")
-        if not any(part.startswith(".") for part in path.relative_to(ROOT).parts)
+        if not any(
+            part.startswith(".") or part == BUILD_FOLDER
+            for part in path.relative_to(ROOT).parts
+        )
     )
     if selected:
         features = [
@@ -183,6 +189,13 @@
     known = sum(scenario.name in known_faults for scenario in failed)
     unexpected = len(failed) - known
     unexpected += sum(not result.complete for result in results)
+    # The end of the output names what failed, since only that may have been kept.
+    for result in results:
+        if not result.complete:
+            print(f"incomplete: {result.feature.relative_to(ROOT)}")
+    for scenario in failed:
+        if scenario.name not in known_faults:
+            print(f"failed: {scenario.name}")
     if known:
         print(f"known faults: {known} (see {KNOWN_FAULTS_FILE.name})")
     print(f"{passed} passed, {unexpected} failed")
