Count an organisation's requests at a collector in a large fleet

Ruled out: other thresholds for what is urgent (9.7 to 16.2 KB).

Reports are no longer passed on. In a fleet that one round does not reach, each organisation has a collector by rendezvous hash. A collector that leaves three reports unanswered is passed over for 10 s. Small fleets work as before.

--- a/egrethall/entry/_peer_links.py
+++ b/egrethall/entry/_peer_links.py
@@ -1,6 +1,6 @@
 """What an entry instance tells the others and learns from them."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import anyio
 import structlog
@@ -8,9 +8,11 @@
 from egrethall.entry._settings import EntrySettings
 from egrethall.fleet import (
     FleetExchange,
+    FleetLevels,
     FleetMembers,
     Heartbeat,
     RecordSources,
+    UsageReports,
     read_records_from_peer,
 )
 from egrethall.placement import CrashGuard
@@ -60,13 +62,7 @@
         self._clock = clock
         self._started_at_seconds = clock.monotonic_seconds()
         self._sequence = 0
-        self._exchange = FleetExchange(
-            settings.peer_address,
-            members,
-            self._compose,
-            self._begin_round,
-            self._receive,
-        )
+        self._exchange = FleetExchange(settings.peer_address, members, self)
         cache.subscribe(self._announce)
         self._silent: frozenset[str] = frozenset()
         self._sources = RecordSources(settings.availability_zone, clock)
@@ -83,7 +79,8 @@
         if self._follower.is_reading:
             self._exchange.announce()
 
-    def _begin_round(self) -> None:
+    def begin_round(self) -> None:
+        """Follows who is silent, and whether this instance reads the store."""
         known, silent = self._members.find_known(), self._members.find_silent()
         near, far = self._members.find_readers(self._settings.availability_zone, silent)
         age_seconds = self._clock.monotonic_seconds() - self._started_at_seconds
@@ -106,7 +103,8 @@
             gone=",".join(sorted(before - known)[:MAX_NAMES_IN_LINE]),
         )
 
-    def _compose(self, named: int) -> Heartbeat:
+    def compose_heartbeat(self, named: int) -> Heartbeat:
+        """Returns what this instance tells all others."""
         self._sequence += 1
         return Heartbeat(
             name=self._settings.name,
@@ -121,10 +119,35 @@
             crashes=self._crashes.find_reports(),
             members=self._members.name_some(named),
             sequence=self._sequence,
-            relayed=self._allowances.find_relayed(),
         )
 
-    def _receive(self, heartbeat: Heartbeat) -> None:
+    def compose_reports(self) -> Mapping[str, UsageReports]:
+        """Returns what collectors are told of the organisations in use here."""
+        self._sequence += 1
+        reports: dict[str, UsageReports] = {}
+        for collector, usage in self._allowances.find_reports().items():
+            address = self._members.find_address(collector)
+            if address is None:
+                continue
+            reports[address] = UsageReports(
+                self._settings.name,
+                self._run,
+                self._settings.peer_address,
+                self._sequence,
+                usage,
+            )
+        return reports
+
+    def receive_reports(self, reports: UsageReports) -> FleetLevels:
+        """Counts what another instance reports and returns the sums."""
+        return FleetLevels(self._settings.name, self._allowances.collect(reports))
+
+    def receive_levels(self, levels: FleetLevels) -> None:
+        """Takes over the sums of a collector."""
+        self._allowances.follow(levels)
+
+    def receive_heartbeat(self, heartbeat: Heartbeat) -> None:
+        """Learns what another instance tells."""
         self._allowances.observe(heartbeat)
         if heartbeat.crashes:
             self._crashes.merge(heartbeat.crashes)
--- a/egrethall/fleet/__init__.py
+++ b/egrethall/fleet/__init__.py
@@ -3,6 +3,7 @@
 from egrethall.fleet._gossip import (
     ROUND_SECONDS,
     FleetExchange,
+    FleetParticipant,
     FleetSocketError,
 )
 from egrethall.fleet._members import (
@@ -11,30 +12,36 @@
     FleetMembers,
 )
 from egrethall.fleet._messages import (
+    FleetLevel,
+    FleetLevels,
     Heartbeat,
-    MalformedHeartbeatError,
+    MalformedMessageError,
+    Message,
     OrganisationUsage,
-    UsageReport,
-    decode_heartbeat,
-    encode_heartbeat,
+    UsageReports,
+    decode_message,
+    encode_message,
 )
 from egrethall.fleet._record_exchange import RecordServer, read_records_from_peer
 from egrethall.fleet._record_sources import RecordSources
 from egrethall.fleet._silence import (
     MAX_RECIPIENTS,
     RECIPIENTS_IN_TURN,
-    URGENT_RECIPIENTS,
     count_turn_rounds,
     find_silent,
 )
 
 __all__ = [
     "FleetExchange",
+    "FleetLevel",
+    "FleetLevels",
     "FleetMembers",
+    "FleetParticipant",
     "FleetSocketError",
     "Heartbeat",
     "MAX_RECIPIENTS",
-    "MalformedHeartbeatError",
+    "MalformedMessageError",
+    "Message",
     "NAMED_IN_ROUND",
     "NAMED_TO_NEWCOMER",
     "OrganisationUsage",
@@ -42,11 +49,10 @@
     "ROUND_SECONDS",
     "RecordServer",
     "RecordSources",
-    "URGENT_RECIPIENTS",
-    "UsageReport",
+    "UsageReports",
     "count_turn_rounds",
-    "decode_heartbeat",
-    "encode_heartbeat",
+    "decode_message",
+    "encode_message",
     "find_silent",
     "read_records_from_peer",
 ]
--- a/egrethall/fleet/_gossip.py
+++ b/egrethall/fleet/_gossip.py
@@ -1,9 +1,10 @@
-"""Heartbeats between instances, as datagrams."""
+"""Heartbeats and reports between instances, as datagrams."""
 
 from __future__ import annotations
 
 import socket
-from collections.abc import Callable
+from collections.abc import Mapping
+from typing import Protocol
 
 import anyio
 import structlog
@@ -16,10 +17,12 @@
     FleetMembers,
 )
 from egrethall.fleet._messages import (
+    FleetLevels,
     Heartbeat,
-    MalformedHeartbeatError,
-    decode_heartbeat,
-    encode_heartbeat,
+    MalformedMessageError,
+    UsageReports,
+    decode_message,
+    encode_message,
 )
 from egrethall.types import EgrethallError
 
@@ -37,30 +40,46 @@
     """The address for heartbeats cannot be used."""
 
 
-class FleetExchange:
-    """Sends heartbeats in rounds and passes on those that arrive.
+class FleetParticipant(Protocol):
+    """What an instance tells the others, and learns from them."""
+
+    def begin_round(self) -> None:
+        """Is called before each round."""
+        ...
+
+    def compose_heartbeat(self, named: int) -> Heartbeat:
+        """Returns the heartbeat to send now, with ``named`` other instances in it."""
+        ...
+
+    def compose_reports(self) -> Mapping[str, UsageReports]:
+        """Returns what to report in this round, by the address of the collector."""
+        ...
+
+    def receive_heartbeat(self, heartbeat: Heartbeat) -> None:
+        """Takes the heartbeat of another instance."""
+        ...
 
-    A lost datagram needs no repetition: each heartbeat carries totals, not changes.
+    def receive_reports(self, reports: UsageReports) -> FleetLevels:
+        """Takes reports as a collector and returns the answer to them."""
+        ...
+
+    def receive_levels(self, levels: FleetLevels) -> None:
+        """Takes the answer of a collector."""
+        ...
+
+
+class FleetExchange:
+    """Sends heartbeats and reports in rounds and hands on what arrives.
 
-    :param compose: returns the heartbeat to send now, with as many other instances
-        named as its argument says.
-    :param begin_round: is called before each round.
-    :param receive: is called with each heartbeat of another instance.
+    A lost datagram needs no repetition: each message carries totals, not changes.
     """
 
     def __init__(
-        self,
-        address: str,
-        members: FleetMembers,
-        compose: Callable[[int], Heartbeat],
-        begin_round: Callable[[], None],
-        receive: Callable[[Heartbeat], None],
+        self, address: str, members: FleetMembers, participant: FleetParticipant
     ) -> None:
         self._address = address
         self._members = members
-        self._compose = compose
-        self._begin_round = begin_round
-        self._receive = receive
+        self._participant = participant
         self._malformed = 0
         self._news = anyio.Event()
 
@@ -87,13 +106,14 @@
         self._news.set()
 
     def _send_round(self, sender: socket.socket) -> None:
-        """Sends one heartbeat to each instance whose turn it is."""
+        """Sends a heartbeat to each instance whose turn it is, and the reports."""
         self._members.forget_expired()
-        self._begin_round()
-        heartbeat = self._compose(NAMED_IN_ROUND)
-        datagram = encode_heartbeat(heartbeat)
-        for address in self._members.choose_recipients(urgent=heartbeat.urgent):
+        self._participant.begin_round()
+        datagram = encode_message(self._participant.compose_heartbeat(NAMED_IN_ROUND))
+        for address in self._members.choose_recipients():
             _send(sender, datagram, address)
+        for address, reports in self._participant.compose_reports().items():
+            _send(sender, encode_message(reports), address)
 
     async def _announce(self, sender: socket.socket) -> None:
         while True:
@@ -101,8 +121,8 @@
             self._news = anyio.Event()
             # The second time makes up for lost datagrams.
             for _ in range(2):
-                heartbeat = self._compose(NAMED_IN_ROUND)
-                datagram = encode_heartbeat(heartbeat)
+                heartbeat = self._participant.compose_heartbeat(NAMED_IN_ROUND)
+                datagram = encode_message(heartbeat)
                 zone = heartbeat.availability_zone
                 for address in self._members.find_addresses(zone):
                     _send(sender, datagram, address)
@@ -116,20 +136,29 @@
                 logger.error("heartbeat socket failed", error=str(error))
                 raise
             try:
-                heartbeat = decode_heartbeat(datagram)
-            except MalformedHeartbeatError as error:
+                message = decode_message(datagram)
+            except MalformedMessageError as error:
                 self._malformed += 1
                 if self._malformed == 1:
-                    logger.warning("malformed heartbeat dropped", error=str(error))
+                    logger.warning("malformed message dropped", error=str(error))
                 continue
-            if self._members.observe(heartbeat):
-                logger.info(
-                    "instance joined", name=heartbeat.name, address=heartbeat.address
-                )
-                # A new instance learns of the others without waiting for a round.
-                answer = encode_heartbeat(self._compose(NAMED_TO_NEWCOMER))
-                _send(sender, answer, heartbeat.address)
-            self._receive(heartbeat)
+            if isinstance(message, UsageReports):
+                levels = self._participant.receive_reports(message)
+                _send(sender, encode_message(levels), message.address)
+            elif isinstance(message, FleetLevels):
+                self._participant.receive_levels(message)
+            else:
+                self._receive_heartbeat(message, sender)
+
+    def _receive_heartbeat(self, heartbeat: Heartbeat, sender: socket.socket) -> None:
+        if self._members.observe(heartbeat):
+            logger.info(
+                "instance joined", name=heartbeat.name, address=heartbeat.address
+            )
+            # A new instance learns of the others without waiting for a round.
+            answer = self._participant.compose_heartbeat(NAMED_TO_NEWCOMER)
+            _send(sender, encode_message(answer), heartbeat.address)
+        self._participant.receive_heartbeat(heartbeat)
 
 
 def _send(sender: socket.socket, datagram: bytes, address: str) -> None:
--- a/egrethall/fleet/_members.py
+++ b/egrethall/fleet/_members.py
@@ -7,7 +7,6 @@
 from egrethall.fleet._silence import (
     MAX_RECIPIENTS,
     RECIPIENTS_IN_TURN,
-    URGENT_RECIPIENTS,
     count_turn_rounds,
     find_silent,
 )
@@ -110,18 +109,15 @@
         for name in expired:
             del self._members[name]
 
-    def choose_recipients(self, *, urgent: bool = False) -> list[str]:
-        """Returns the addresses of the next round of heartbeats.
-
-        :param urgent: True to reach a large fleet in fewer rounds.
-        """
+    def choose_recipients(self) -> list[str]:
+        """Returns the addresses of the next round of heartbeats."""
         addresses = sorted(member.address for member in self._members.values())
         unknown = [seed for seed in self._seeds if seed not in addresses]
         if len(addresses) > MAX_RECIPIENTS:
-            count = URGENT_RECIPIENTS if urgent else RECIPIENTS_IN_TURN
             start = (self._first_recipient + self._told) % len(addresses)
-            self._told += count
-            turn = itertools.islice(itertools.cycle(addresses), start, start + count)
+            end = start + RECIPIENTS_IN_TURN
+            self._told += RECIPIENTS_IN_TURN
+            turn = itertools.islice(itertools.cycle(addresses), start, end)
             addresses = list(turn)
         return addresses + unknown
 
@@ -166,6 +162,11 @@
                 (near if member.availability_zone == zone else far).append(member.name)
         return near, far
 
+    def find_address(self, name: str) -> str | None:
+        """Returns the address of an instance, or None if it is not known."""
+        member = self._members.get(name)
+        return None if member is None else member.address
+
     def find_addresses(self, zone: str) -> list[str]:
         """Returns the addresses of the other instances of a zone."""
         return [
--- a/egrethall/fleet/_messages.py
+++ b/egrethall/fleet/_messages.py
@@ -1,7 +1,7 @@
-"""The datagrams that instances send each other."""
+"""The messages that instances send each other as datagrams."""
 
 import math
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -10,11 +10,17 @@
 from egrethall.types import EgrethallError
 
 #: Version of the format; instances ignore datagrams of another one.
-FORMAT_VERSION = 3
+FORMAT_VERSION = 4
 
 
-class MalformedHeartbeatError(EgrethallError):
-    """A datagram that is no heartbeat of this format."""
+#: The kinds of messages, as they stand in a datagram.
+_HEARTBEAT = 0
+_USAGE_REPORTS = 1
+_FLEET_LEVELS = 2
+
+
+class MalformedMessageError(EgrethallError):
+    """A datagram that is no message of this format."""
 
 
 @dataclass(frozen=True)
@@ -30,21 +36,41 @@
     #: Number of times that the organisation was idle for so long that the count of
     #: admitted requests began anew.
     period: int = 0
-    #: True if the organisation may soon exceed its allowance, so that each instance
-    #: has to hear of this within a few rounds.
-    pressed: bool = False
 
 
 @dataclass(frozen=True)
-class UsageReport:
-    """What an instance has reported for one organisation, itself or through another."""
+class UsageReports:
+    """What an instance tells the collector of some organisations."""
 
     name: str
     run: int
-    #: Number of the heartbeat in which it was reported.
+    #: Address to which the collector answers.
+    address: str
+    #: Number of this message among the heartbeats and reports of the run.
     sequence: int
-    organisation: str
-    usage: OrganisationUsage
+    usage: Mapping[str, OrganisationUsage]
+
+
+@dataclass(frozen=True)
+class FleetLevel:
+    """One organisation's allowance over the whole fleet, as its collector knows it."""
+
+    #: Tokens left.
+    level: float
+    #: Requests per second that arrive at all instances, refused ones included.
+    demand_per_second: float
+    #: What the instance that asked had reported, which the level includes.
+    admitted: int
+    period: int
+
+
+@dataclass(frozen=True)
+class FleetLevels:
+    """A collector's answer to reports."""
+
+    #: Name of the collector.
+    name: str
+    levels: Mapping[str, FleetLevel]
 
 
 @dataclass(frozen=True)
@@ -71,105 +97,145 @@
     members: tuple[tuple[str, str], ...] = ()
     #: Number of this heartbeat in the run.
     sequence: int = 0
-    #: What others have reported of pressed organisations.
-    relayed: tuple[UsageReport, ...] = ()
-
-    @property
-    def urgent(self) -> bool:
-        """Whether it tells of an organisation that may soon exceed its allowance."""
-        return bool(self.relayed) or any(u.pressed for u in self.usage.values())
-
-
-def encode_heartbeat(heartbeat: Heartbeat) -> bytes:
-    """Returns the datagram of ``heartbeat``."""
-    return bytes(
-        msgpack.packb(
-            [
-                FORMAT_VERSION,
-                heartbeat.name,
-                heartbeat.run,
-                heartbeat.address,
-                heartbeat.availability_zone,
-                heartbeat.leaving,
-                heartbeat.revision,
-                heartbeat.reading,
-                heartbeat.since_outage_seconds,
-                {name: _encode_usage(usage) for name, usage in heartbeat.usage.items()},
-                heartbeat.crashes,
-                heartbeat.members,
-                heartbeat.sequence,
-                [
-                    (
-                        report.name,
-                        report.run,
-                        report.sequence,
-                        report.organisation,
-                        _encode_usage(report.usage),
-                    )
-                    for report in heartbeat.relayed
-                ],
-            ]
-        )
-    )
 
 
-def decode_heartbeat(datagram: bytes) -> Heartbeat:
-    """Returns the heartbeat in a datagram; raises :class:`MalformedHeartbeatError`."""
+Message = Heartbeat | UsageReports | FleetLevels
+
+
+def encode_message(message: Message) -> bytes:
+    """Returns the datagram of ``message``."""
+    if isinstance(message, Heartbeat):
+        fields = _encode_heartbeat(message)
+    elif isinstance(message, UsageReports):
+        fields = _encode_reports(message)
+    else:
+        fields = _encode_levels(message)
+    return bytes(msgpack.packb([FORMAT_VERSION, *fields]))
+
+
+def decode_message(datagram: bytes) -> Message:
+    """Returns the message in a datagram; raises :class:`MalformedMessageError`."""
     try:
-        version, *fields = msgpack.unpackb(datagram)
+        version, kind, *fields = msgpack.unpackb(datagram)
         if version != FORMAT_VERSION:
-            raise MalformedHeartbeatError(f"a heartbeat has format {version!r}")
-        name, run, address, zone, leaving, revision, *rest = fields
-        reading, since_outage_seconds, usage, crashes, *rest = rest
-        members, sequence, relayed = rest
-        return Heartbeat(
-            name=str(name),
-            run=int(run),
-            address=str(address),
-            availability_zone=str(zone),
-            leaving=bool(leaving),
-            revision=int(revision),
-            reading=bool(reading),
-            since_outage_seconds=float(since_outage_seconds),
-            usage={
-                str(organisation): _decode_usage(fields)
-                for organisation, fields in usage.items()
-            },
-            crashes=tuple(
-                (bytes(fingerprint), str(upstream)) for fingerprint, upstream in crashes
-            ),
-            members=tuple((str(peer), str(where)) for peer, where in members),
-            sequence=int(sequence),
-            relayed=tuple(
-                UsageReport(
-                    str(name),
-                    int(run),
-                    int(number),
-                    str(organisation),
-                    _decode_usage(fields),
-                )
-                for name, run, number, organisation, fields in relayed
-            ),
-        )
-    except MalformedHeartbeatError:
+            raise MalformedMessageError(f"a message has format {version!r}")
+        return _DECODERS[kind](fields)
+    except MalformedMessageError:
         raise
     except Exception as error:
         # msgpack raises a dozen types, depending on what is wrong with the bytes.
-        raise MalformedHeartbeatError(f"no heartbeat: {error}") from error
+        raise MalformedMessageError(f"no message: {error!r}") from error
 
 
-def _encode_usage(usage: OrganisationUsage) -> tuple[int, int, int, int, bool]:
+def _encode_heartbeat(heartbeat: Heartbeat) -> tuple[Any, ...]:
     return (
-        usage.admitted,
-        round(usage.demand_per_second * 10),
-        round(usage.level),
-        usage.period,
-        usage.pressed,
+        _HEARTBEAT,
+        heartbeat.name,
+        heartbeat.run,
+        heartbeat.address,
+        heartbeat.availability_zone,
+        heartbeat.leaving,
+        heartbeat.revision,
+        heartbeat.reading,
+        heartbeat.since_outage_seconds,
+        _encode_usages(heartbeat.usage),
+        heartbeat.crashes,
+        heartbeat.members,
+        heartbeat.sequence,
     )
 
 
-def _decode_usage(fields: Sequence[Any]) -> OrganisationUsage:
-    admitted, tenths, level, period, pressed = fields
-    return OrganisationUsage(
-        int(admitted), int(tenths) / 10, float(level), int(period), bool(pressed)
+def _decode_heartbeat(fields: Sequence[Any]) -> Heartbeat:
+    name, run, address, zone, leaving, revision, *rest = fields
+    reading, since_outage_seconds, usage, crashes, members, sequence = rest
+    return Heartbeat(
+        name=str(name),
+        run=int(run),
+        address=str(address),
+        availability_zone=str(zone),
+        leaving=bool(leaving),
+        revision=int(revision),
+        reading=bool(reading),
+        since_outage_seconds=float(since_outage_seconds),
+        usage=_decode_usages(usage),
+        crashes=tuple(
+            (bytes(fingerprint), str(upstream)) for fingerprint, upstream in crashes
+        ),
+        members=tuple((str(peer), str(where)) for peer, where in members),
+        sequence=int(sequence),
     )
+
+
+def _encode_reports(reports: UsageReports) -> tuple[Any, ...]:
+    return (
+        _USAGE_REPORTS,
+        reports.name,
+        reports.run,
+        reports.address,
+        reports.sequence,
+        _encode_usages(reports.usage),
+    )
+
+
+def _decode_reports(fields: Sequence[Any]) -> UsageReports:
+    name, run, address, sequence, usage = fields
+    return UsageReports(
+        str(name), int(run), str(address), int(sequence), _decode_usages(usage)
+    )
+
+
+def _encode_levels(levels: FleetLevels) -> tuple[Any, ...]:
+    return (
+        _FLEET_LEVELS,
+        levels.name,
+        {
+            organisation: (
+                round(level.level),
+                round(level.demand_per_second * 10),
+                level.admitted,
+                level.period,
+            )
+            for organisation, level in levels.levels.items()
+        },
+    )
+
+
+def _decode_levels(fields: Sequence[Any]) -> FleetLevels:
+    name, levels = fields
+    return FleetLevels(
+        str(name),
+        {
+            str(organisation): FleetLevel(
+                float(level), int(tenths) / 10, int(admitted), int(period)
+            )
+            for organisation, (level, tenths, admitted, period) in levels.items()
+        },
+    )
+
+
+def _encode_usages(usages: Mapping[str, OrganisationUsage]) -> dict[str, Any]:
+    return {
+        organisation: (
+            usage.admitted,
+            round(usage.demand_per_second * 10),
+            round(usage.level),
+            usage.period,
+        )
+        for organisation, usage in usages.items()
+    }
+
+
+def _decode_usages(usages: Mapping[Any, Sequence[Any]]) -> dict[str, OrganisationUsage]:
+    return {
+        str(organisation): OrganisationUsage(
+            int(admitted), int(tenths) / 10, float(level), int(period)
+        )
+        for organisation, (admitted, tenths, level, period) in usages.items()
+    }
+
+
+_DECODERS: Mapping[int, Callable[[Sequence[Any]], Message]] = {
+    _HEARTBEAT: _decode_heartbeat,
+    _USAGE_REPORTS: _decode_reports,
+    _FLEET_LEVELS: _decode_levels,
+}
--- a/egrethall/fleet/_silence.py
+++ b/egrethall/fleet/_silence.py
@@ -9,10 +9,6 @@
 #: The same in a fleet that is too large for one round.
 RECIPIENTS_IN_TURN = 8
 
-#: The same while something is urgent. It is passed on by those that hear of it, so that
-#: it reaches 16 x 16 instances in the second round.
-URGENT_RECIPIENTS = 16
-
 #: An instance that was not heard for so long, in rounds that reach it, is silent. One
 #: lost datagram makes it so: what is set aside for a silent instance is given back.
 SILENT_ROUNDS = 1.5
--- a/egrethall/placement/_cold_starts.py
+++ b/egrethall/placement/_cold_starts.py
@@ -1,9 +1,8 @@
 """Which instances may send to a cold upstream, and how much."""
 
 from collections.abc import Sequence
-from hashlib import blake2b
 
-from egrethall.types import Clock
+from egrethall.types import Clock, weigh
 
 #: Instances that share a cold upstream's rate. Each may send one request at once, so
 #: few of them keep the sum near the rate; two sides of a cut make it twice as many.
@@ -20,9 +19,8 @@
 class ColdStartShares:
     """Divides the rate of each cold upstream among a few instances without messages.
 
-    The senders of an upstream are the instances with the highest rendezvous hash
-    (Thaler and Ravishankar 1998), so that all instances that know the same members
-    agree on them.
+    The senders of an upstream are the instances with the highest rendezvous hash, so
+    that all instances that know the same members agree on them.
     """
 
     def __init__(self, own_name: str, clock: Clock) -> None:
@@ -33,8 +31,8 @@
 
     def is_sender(self, upstream: str, members: Sequence[str]) -> bool:
         """Returns whether this instance may send to ``upstream`` while it is cold."""
-        own_weight = _weigh(upstream, self._own_name)
-        heavier = sum(_weigh(upstream, name) > own_weight for name in members)
+        own_weight = weigh(upstream, self._own_name)
+        heavier = sum(weigh(upstream, name) > own_weight for name in members)
         return heavier < SENDERS
 
     def take_turn(
@@ -52,7 +50,3 @@
         interval_seconds = senders / (rate_per_second * RATE_RATIO)
         self._next_at_seconds[upstream] = now_seconds + interval_seconds
         return True
-
-
-def _weigh(upstream: str, instance: str) -> bytes:
-    return blake2b(f"{upstream}\0{instance}".encode(), digest_size=8).digest()
--- a/egrethall/quota/_allowance.py
+++ b/egrethall/quota/_allowance.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-from egrethall.fleet import OrganisationUsage, UsageReport
+from egrethall.fleet import FleetLevel, OrganisationUsage
 
 #: Share of the tolerated excess that is planned for. The rest covers requests of
 #: other instances that this one has not heard of yet.
@@ -17,10 +17,13 @@
 FREE_REQUESTS = 2
 FREE_REQUESTS_OVERDRAWN = 1
 
-#: An organisation is pressed below this part of its burst, or if one instance alone
-#: meets this part of its rate: others then have to hear of it within a round.
-PRESSED_LEVEL_RATIO = 0.5
-PRESSED_DEMAND_RATIO = 0.2
+#: Demand above which an instance reports to the collector in each round. A single
+#: request is reported twice, since datagrams get lost.
+REPORTED_DEMAND_PER_SECOND = 0.3
+
+#: Time for which the collector's word on the demand of the fleet counts, and a report
+#: to the collector: two rounds, so that one lost datagram does not matter.
+FOLLOWED_SECONDS = 1.2
 
 #: Part of an even share that an instance keeps although it reports no demand.
 MIN_SHARE_RATIO = 0.5
@@ -74,6 +77,17 @@
         self._last_but_one, self._last = self._last, demand_per_second
 
 
+@dataclass(frozen=True)
+class UsageReport:
+    """What another instance has reported, in a heartbeat or to the collector."""
+
+    name: str
+    run: int
+    #: Number of the message among the heartbeats and reports of the run.
+    sequence: int
+    usage: OrganisationUsage
+
+
 @dataclass(slots=True)
 class _PeerUsage:
     """What another instance has last reported."""
@@ -83,6 +97,8 @@
     period: int
     admitted: int
     demand_per_second: float
+    #: Clock reading of the report.
+    reported_at_seconds: float
     steady_demand: _SteadyDemand = field(default_factory=_SteadyDemand)
     #: Clock reading at which it fell silent; None while it is heard.
     silent_at_seconds: float | None = None
@@ -105,6 +121,9 @@
     together keep to the allowance whatever is asked of them. What it did not use is
     given back when it is heard again.
 
+    In a large fleet the organisation's collector charges what all others report to it,
+    and each of them takes over its level (see :mod:`egrethall.quota._collectors`).
+
     :param full: True to begin with all of the burst. A process that replaces another
         begins overdrawn, because what the other one admitted still counts, and takes
         over the level of the first instance that tells it.
@@ -138,6 +157,11 @@
         self._knows_level = full
         #: Part of the allowance that is set aside for silent instances.
         self._share_aside = 0.0
+        #: Clock reading of the last report to this instance as the collector.
+        self._collected_at_seconds = float("-inf")
+        #: What the collector has last told, and when.
+        self._fleet_demand_per_second = 0.0
+        self._followed_at_seconds = float("-inf")
 
     @property
     def unlimited(self) -> bool:
@@ -145,13 +169,10 @@
         return self._rate_per_second <= 0
 
     @property
-    def pressed(self) -> bool:
-        """Whether requests here could soon exceed the allowance of the fleet."""
-        if self.unlimited or self._demand_per_second <= 0:
-            return False
+    def reportable(self) -> bool:
+        """Whether the collector has to hear of this instance in this round."""
         return (
-            self._level < PRESSED_LEVEL_RATIO * self._burst
-            or self._demand_per_second > PRESSED_DEMAND_RATIO * self._rate_per_second
+            not self.unlimited and self._demand_per_second > REPORTED_DEMAND_PER_SECOND
         )
 
     @property
@@ -161,7 +182,7 @@
         # instance that takes it over has the whole room.
         level = self._tokens - self._room
         return OrganisationUsage(
-            self._admitted, self._demand_per_second, level, self._period, self.pressed
+            self._admitted, self._demand_per_second, level, self._period
         )
 
     @property
@@ -221,19 +242,25 @@
         self._admitted_in_round = 0
         self._round_limit = max(0.0, self._tokens)
 
-    def observe(self, report: UsageReport, *, heard_before: bool) -> bool:
+    def observe(self, report: UsageReport, *, heard_before: bool) -> None:
         """Charges what another instance has admitted since its last report.
 
+        A report that is older than what is known changes nothing.
+
         :param heard_before: True if this run of it was heard before, so that what it
             did not report then, it had not admitted.
-        :return: False for a report that is older than what is known.
         """
         run, usage = report.run, report.usage
         known = self._peers.get(report.name)
         if known is not None and known.run == run and report.sequence <= known.sequence:
-            return False
+            return
         peer = _PeerUsage(
-            run, report.sequence, usage.period, usage.admitted, usage.demand_per_second
+            run,
+            report.sequence,
+            usage.period,
+            usage.admitted,
+            usage.demand_per_second,
+            self._now_seconds,
         )
         if known is not None:
             peer.steady_demand = known.steady_demand
@@ -244,12 +271,13 @@
         if known is not None:
             self._take_back(known, used_up=known.run != run)
         self._peers[report.name] = peer
+        if self._includes(known):
+            return
         # What a new acquaintance did before is in the level that was taken over.
         before = 0 if heard_before else usage.admitted
         if known is not None and (known.run, known.period) == (run, usage.period):
             before = known.admitted
         self._charge(max(0.0, usage.admitted - before))
-        return True
 
     def observe_idle(self, name: str, run: int, sequence: int) -> bool:
         """Learns that another instance has no request of the organisation.
@@ -258,7 +286,9 @@
 
         :return: True if the next report that it has none would change nothing.
         """
-        peer = self._peers.setdefault(name, _PeerUsage(run, sequence, 0, 0, 0.0))
+        peer = self._peers.setdefault(
+            name, _PeerUsage(run, sequence, 0, 0, 0.0, self._now_seconds)
+        )
         if peer.run == run and sequence < peer.sequence:
             return False
         self._take_back(peer, used_up=peer.run != run)
@@ -266,16 +296,52 @@
             # The new process has not admitted anything yet.
             peer.run, peer.period, peer.admitted = run, 0, 0
         peer.sequence = sequence
+        peer.reported_at_seconds = self._now_seconds
         peer.demand_per_second = 0.0
         peer.steady_demand.add(0.0)
         return peer.steady_demand.per_second < NO_DEMAND_PER_SECOND
 
+    def collect(self, report: UsageReport, *, heard_before: bool) -> FleetLevel:
+        """Charges a report to this instance as the collector; returns the answer."""
+        self._collected_at_seconds = self._now_seconds
+        self.observe(report, heard_before=heard_before)
+        usage = report.usage
+        return FleetLevel(
+            self._tokens - self._room,
+            self._find_fleet_demand(),
+            usage.admitted,
+            usage.period,
+        )
+
+    def follow(self, fleet: FleetLevel, now_seconds: float) -> None:
+        """Takes over the level that the collector has counted."""
+        self._advance(now_seconds)
+        if fleet.period != self._period:
+            return
+        unreported = self._admitted - fleet.admitted
+        level = fleet.level - unreported + self._room * self._share_aside
+        self._level = min(level, self._burst)
+        self._knows_level = True
+        self._fleet_demand_per_second = fleet.demand_per_second
+        self._followed_at_seconds = now_seconds
+        self._round_limit = max(0.0, self._tokens) + self._admitted_in_round
+
     def forget(self, name: str) -> None:
         """Drops an instance that left or was given up."""
         known = self._peers.pop(name, None)
         if known is not None:
             self._take_back(known, used_up=True)
 
+    def _includes(self, known: _PeerUsage | None) -> bool:
+        """Returns whether the level already has what an instance reports now.
+
+        The collector had counted all that was reported by the time when its level was
+        taken over.
+        """
+        if known is not None:
+            return known.reported_at_seconds <= self._followed_at_seconds
+        return self._now_seconds - self._followed_at_seconds <= self._report_seconds
+
     def _find_heard(self) -> list[_PeerUsage]:
         return [p for p in self._peers.values() if p.silent_at_seconds is None]
 
@@ -366,11 +432,21 @@
         left = 1.0 - self._share_aside
         self._level = min(self._burst * left, self._level + minted * left)
 
+    def _find_fleet_demand(self) -> float:
+        """Returns the demand at all instances that are heard, this one included."""
+        oldest_seconds = self._now_seconds - FOLLOWED_SECONDS
+        if self._followed_at_seconds > oldest_seconds:
+            return max(self._fleet_demand_per_second, self._demand_per_second)
+        heard = self._find_heard()
+        if self._collected_at_seconds > oldest_seconds:
+            # Who has demand reports it to the collector in each round.
+            heard = [p for p in heard if p.reported_at_seconds > oldest_seconds]
+        return self._demand_per_second + sum(p.demand_per_second for p in heard)
+
     def _find_own_share(self) -> float:
         """Returns this instance's part of what is not set aside."""
-        heard = self._find_heard()
-        total = self._demand_per_second + sum(p.demand_per_second for p in heard)
-        smallest = MIN_SHARE_RATIO / (1 + len(heard))
+        total = self._find_fleet_demand()
+        smallest = MIN_SHARE_RATIO / (1 + len(self._find_heard()))
         if total <= 0:
             return smallest
         return max(smallest, self._demand_per_second / total)
--- a/egrethall/quota/_book.py
+++ b/egrethall/quota/_book.py
@@ -3,9 +3,20 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from egrethall.fleet import ROUND_SECONDS, Heartbeat, OrganisationUsage, UsageReport
-from egrethall.quota._allowance import AllowanceExcess, OrganisationAllowance
-from egrethall.quota._relay import UsageRelay
+from egrethall.fleet import (
+    ROUND_SECONDS,
+    FleetLevel,
+    FleetLevels,
+    Heartbeat,
+    OrganisationUsage,
+    UsageReports,
+)
+from egrethall.quota._allowance import (
+    AllowanceExcess,
+    OrganisationAllowance,
+    UsageReport,
+)
+from egrethall.quota._collectors import Collectors
 from egrethall.types import (
     Clock,
     PublishedConfiguration,
@@ -20,8 +31,8 @@
 MIN_RETRY_AFTER_SECONDS = 0.1
 MAX_RETRY_AFTER_SECONDS = 2.0
 
-#: Time for which the reports of an instance count that is not known, or no more. Longer
-#: than reports are passed on, and than an instance takes to be known that has started.
+#: Time for which the reports of an instance count that is not known, or no more. An
+#: instance that has started is known within a few rounds.
 UNKNOWN_PEER_SECONDS = 5.0
 
 #: Turns for which an organisation is reported after its last request, so that each
@@ -41,8 +52,6 @@
     watched: set[str]
     #: Clock reading of the last report by it or of it.
     heard_at_seconds: float
-    #: False if this run is only known from what others pass on.
-    heard: bool = False
 
 
 class FleetAllowances:
@@ -68,9 +77,9 @@
         self._random = random_source
         self._allowances: dict[str, OrganisationAllowance] = {}
         self._peers: dict[str, _Peer] = {}
-        self._relay = UsageRelay(clock)
+        self._collectors = Collectors(own_name, clock)
         #: True in a fleet that one round of heartbeats does not reach.
-        self._relays = False
+        self._has_collectors = False
 
     def apply_configuration(self, configuration: PublishedConfiguration) -> None:
         """Adds, changes and removes allowances."""
@@ -122,12 +131,12 @@
         """
         now_seconds = self._clock.monotonic_seconds()
         for name in self._peers.keys() - known:
-            # Reports are passed on of instances that are not known yet, and for a
-            # moment of those that have left.
+            # An instance may report to its collector before its first heartbeat.
             heard_at_seconds = self._peers[name].heard_at_seconds
             if now_seconds - heard_at_seconds > UNKNOWN_PEER_SECONDS:
                 self._forget(name)
-        self._relays = turn_seconds > ROUND_SECONDS
+        self._has_collectors = turn_seconds > ROUND_SECONDS
+        self._collectors.begin_round(known - silent)
         for name in silent & self._peers.keys():
             # Whatever it says next, its shares are given back.
             self._peers[name].watched = set(self._allowances)
@@ -142,59 +151,80 @@
             if not allowance.idle
         }
 
-    def find_relayed(self) -> tuple[UsageReport, ...]:
-        """Returns what others have reported and the next heartbeat passes on."""
-        return self._relay.find_reports() if self._relays else ()
+    def find_reports(self) -> Mapping[str, Mapping[str, OrganisationUsage]]:
+        """Returns what to report in this round, by the name of the collector.
+
+        A small fleet has no collectors, as each heartbeat reaches all of it.
+        """
+        reports: dict[str, dict[str, OrganisationUsage]] = {}
+        if not self._has_collectors:
+            return reports
+        for organisation, allowance in self._allowances.items():
+            if not allowance.reportable:
+                continue
+            collector = self._collectors.find(organisation)
+            if collector != self._own_name:
+                reports.setdefault(collector, {})[organisation] = allowance.usage
+        for collector in reports:
+            self._collectors.observe_report(collector)
+        return reports
+
+    def collect(self, reports: UsageReports) -> Mapping[str, FleetLevel]:
+        """Charges what an instance reports to this one; returns the answer to it."""
+        levels: dict[str, FleetLevel] = {}
+        peer, is_known = self._find_peer(reports.name, reports.run)
+        for organisation, usage in reports.usage.items():
+            allowance = self._allowances.get(organisation)
+            if allowance is None:
+                continue
+            peer.watched.add(organisation)
+            levels[organisation] = allowance.collect(
+                UsageReport(reports.name, reports.run, reports.sequence, usage),
+                heard_before=is_known,
+            )
+        return levels
+
+    def follow(self, answer: FleetLevels) -> None:
+        """Takes over what a collector has counted."""
+        self._collectors.observe_answer(answer.name)
+        now_seconds = self._clock.monotonic_seconds()
+        for organisation, level in answer.levels.items():
+            allowance = self._allowances.get(organisation)
+            if allowance is not None:
+                allowance.follow(level, now_seconds)
 
     def observe(self, heartbeat: Heartbeat) -> None:
         """Charges what another instance reports and passes on."""
         if heartbeat.leaving:
             self._forget(heartbeat.name)
             return
-        peer = self._find_peer(heartbeat.name, heartbeat.run)
-        heard_before, peer.heard = peer.heard, True
+        peer, is_known = self._find_peer(heartbeat.name, heartbeat.run)
         for organisation, usage in heartbeat.usage.items():
+            allowance = self._allowances.get(organisation)
+            if allowance is None:
+                continue
             peer.watched.add(organisation)
-            report = UsageReport(
-                heartbeat.name, heartbeat.run, heartbeat.sequence, organisation, usage
+            allowance.observe(
+                UsageReport(heartbeat.name, heartbeat.run, heartbeat.sequence, usage),
+                heard_before=is_known,
             )
-            self._take(report, heard_before)
         for organisation in peer.watched - heartbeat.usage.keys():
             allowance = self._allowances.get(organisation)
             if allowance is None or allowance.observe_idle(
                 heartbeat.name, heartbeat.run, heartbeat.sequence
             ):
                 peer.watched.discard(organisation)
-        for report in heartbeat.relayed:
-            self._observe_relayed(report)
 
-    def _observe_relayed(self, report: UsageReport) -> None:
-        peer = self._peers.get(report.name)
-        if report.name == self._own_name or (peer and report.run < peer.run):
-            return
-        # What a process that replaces a known one has admitted, it admitted just now.
-        heard_before = peer is not None and (peer.heard or peer.run != report.run)
-        peer = self._find_peer(report.name, report.run)
-        peer.watched.add(report.organisation)
-        self._take(report, heard_before)
-
-    def _find_peer(self, name: str, run: int) -> _Peer:
-        """Returns what is remembered of an instance that is heard of now."""
+    def _find_peer(self, name: str, run: int) -> tuple[_Peer, bool]:
+        """Returns an instance that is heard now, and whether this run was before."""
         now_seconds = self._clock.monotonic_seconds()
         peer = self._peers.get(name)
+        is_known = peer is not None and peer.run == run
         if peer is None or peer.run != run:
             peer = _Peer(run, set(self._allowances), now_seconds)
             self._peers[name] = peer
         peer.heard_at_seconds = now_seconds
-        return peer
-
-    def _take(self, report: UsageReport, heard_before: bool) -> None:
-        allowance = self._allowances.get(report.organisation)
-        if allowance is None:
-            return
-        is_news = allowance.observe(report, heard_before=heard_before)
-        if is_news and self._relays and report.usage.pressed:
-            self._relay.add(report)
+        return peer, is_known
 
     def _forget(self, name: str) -> None:
         self._peers.pop(name, None)
--- a/egrethall/types/__init__.py
+++ b/egrethall/types/__init__.py
@@ -116,6 +116,7 @@
     RefusalReason,
     RequestRun,
 )
+from egrethall.types._rendezvous import weigh
 
 __all__ = [
     "AllowanceGate",
@@ -206,4 +207,5 @@
     "UpstreamTransport",
     "UpstreamWithdrawn",
     "ZoneServiceChanged",
+    "weigh",
 ]
