Import what only `egrethall serve` needs when it is used

Cause: of 852 million instructions up to the first connection of an entry instance (callgrind, imports of egrethall.entry._daemon and anyio's backend) 208 million went into egrethall.types and 178 million into egrethall.configuration, most of them for dataclasses that only instances with leases use.

RefusedError and Headers, which entry instances need, move out of types/_calls.py.

No gain was tried for asyncio (230 million), anyio (110) and structlog (77).

--- a/egrethall/types/__init__.py
+++ b/egrethall/types/__init__.py
@@ -1,44 +1,13 @@
 """Types that all parts of the project share."""
 
-from egrethall.types._audit import (
-    AuditEvent,
-    AuditTrail,
-)
-from egrethall.types._calls import (
-    HOP_BY_HOP_HEADERS,
-    AllowanceGate,
-    AllowanceToken,
-    AttemptOutcome,
-    AttemptTimeoutError,
-    CallRequest,
-    CallResult,
-    ConnectFailedError,
-    ConnectionBrokenError,
-    Headers,
-    RefusedError,
-    RequestBody,
-    RequestBodyError,
-    UpstreamError,
-    UpstreamResponse,
-    UpstreamSelector,
-    UpstreamTicket,
-    UpstreamTokenGate,
-    UpstreamTransport,
-)
+from typing import TYPE_CHECKING
+
+from egrethall._lazy_exports import make_getattr
 from egrethall.types._clock import (
     Clock,
     ManualClock,
     SystemClock,
 )
-from egrethall.types._configuration import (
-    Configuration,
-    KeyDigest,
-    Organisation,
-    Plan,
-    Route,
-    Service,
-    Upstream,
-)
 from egrethall.types._entry_exchange import (
     CallerHead,
     ExchangeFormat,
@@ -47,42 +16,9 @@
 from egrethall.types._errors import (
     EgrethallError,
 )
-from egrethall.types._instances import (
-    InstanceId,
-    InstanceListing,
-    InstanceState,
-    ListedInstance,
-)
-from egrethall.types._loads import (
-    LoadReport,
-    UpstreamFact,
-    UpstreamState,
-)
-from egrethall.types._peer_messages import (
-    Borrow,
-    BucketState,
-    Complete,
-    ConfigurationRequest,
-    ConfigurationText,
-    CrashReport,
-    Handover,
-    Heartbeat,
-    HeartbeatAck,
-    Hello,
-    HelloProof,
-    IdempotencyRecord,
-    Loan,
-    PeerMessage,
-    Release,
-    Reserve,
-    ReserveReply,
-    UpstreamEvent,
-)
-from egrethall.types._peers import (
-    LeaseView,
-    PeerRequester,
-    PeerUnavailableError,
-    ShardDirectory,
+from egrethall.types._http_headers import (
+    HOP_BY_HOP_HEADERS,
+    Headers,
 )
 from egrethall.types._published import (
     CallerLimits,
@@ -114,10 +50,155 @@
 from egrethall.types._refusals import (
     Refusal,
     RefusalReason,
+    RefusedError,
     RequestRun,
 )
 from egrethall.types._rendezvous import weigh
 
+if TYPE_CHECKING:
+    from egrethall.types._audit import (
+        AuditEvent,
+        AuditTrail,
+    )
+    from egrethall.types._calls import (
+        AllowanceGate,
+        AllowanceToken,
+        AttemptOutcome,
+        AttemptTimeoutError,
+        CallRequest,
+        CallResult,
+        ConnectFailedError,
+        ConnectionBrokenError,
+        RequestBody,
+        RequestBodyError,
+        UpstreamError,
+        UpstreamResponse,
+        UpstreamSelector,
+        UpstreamTicket,
+        UpstreamTokenGate,
+        UpstreamTransport,
+    )
+    from egrethall.types._configuration import (
+        Configuration,
+        KeyDigest,
+        Organisation,
+        Plan,
+        Route,
+        Service,
+        Upstream,
+    )
+    from egrethall.types._instances import (
+        InstanceId,
+        InstanceListing,
+        InstanceState,
+        ListedInstance,
+    )
+    from egrethall.types._loads import (
+        LoadReport,
+        UpstreamFact,
+        UpstreamState,
+    )
+    from egrethall.types._peer_messages import (
+        Borrow,
+        BucketState,
+        Complete,
+        ConfigurationRequest,
+        ConfigurationText,
+        CrashReport,
+        Handover,
+        Heartbeat,
+        HeartbeatAck,
+        Hello,
+        HelloProof,
+        IdempotencyRecord,
+        Loan,
+        PeerMessage,
+        Release,
+        Reserve,
+        ReserveReply,
+        UpstreamEvent,
+    )
+    from egrethall.types._peers import (
+        LeaseView,
+        PeerRequester,
+        PeerUnavailableError,
+        ShardDirectory,
+    )
+else:
+    __getattr__ = make_getattr(
+        __name__,
+        {
+            "_audit": (
+                "AuditEvent",
+                "AuditTrail",
+            ),
+            "_calls": (
+                "AllowanceGate",
+                "AllowanceToken",
+                "AttemptOutcome",
+                "AttemptTimeoutError",
+                "CallRequest",
+                "CallResult",
+                "ConnectFailedError",
+                "ConnectionBrokenError",
+                "RequestBody",
+                "RequestBodyError",
+                "UpstreamError",
+                "UpstreamResponse",
+                "UpstreamSelector",
+                "UpstreamTicket",
+                "UpstreamTokenGate",
+                "UpstreamTransport",
+            ),
+            "_configuration": (
+                "Configuration",
+                "KeyDigest",
+                "Organisation",
+                "Plan",
+                "Route",
+                "Service",
+                "Upstream",
+            ),
+            "_instances": (
+                "InstanceId",
+                "InstanceListing",
+                "InstanceState",
+                "ListedInstance",
+            ),
+            "_loads": (
+                "LoadReport",
+                "UpstreamFact",
+                "UpstreamState",
+            ),
+            "_peer_messages": (
+                "Borrow",
+                "BucketState",
+                "Complete",
+                "ConfigurationRequest",
+                "ConfigurationText",
+                "CrashReport",
+                "Handover",
+                "Heartbeat",
+                "HeartbeatAck",
+                "Hello",
+                "HelloProof",
+                "IdempotencyRecord",
+                "Loan",
+                "PeerMessage",
+                "Release",
+                "Reserve",
+                "ReserveReply",
+                "UpstreamEvent",
+            ),
+            "_peers": (
+                "LeaseView",
+                "PeerRequester",
+                "PeerUnavailableError",
+                "ShardDirectory",
+            ),
+        },
+    )
+
 __all__ = [
     "AllowanceGate",
     "AllowanceToken",
--- a/egrethall/types/_calls.py
+++ b/egrethall/types/_calls.py
@@ -7,33 +7,8 @@
 
 from egrethall.types._configuration import Organisation, Route, Service, Upstream
 from egrethall.types._errors import EgrethallError
+from egrethall.types._http_headers import Headers
 from egrethall.types._loads import LoadReport
-from egrethall.types._refusals import Refusal
-
-Headers = tuple[tuple[bytes, bytes], ...]
-
-#: Headers that concern one connection only (RFC 9110 section 7.6.1).
-HOP_BY_HOP_HEADERS = frozenset(
-    {
-        b"connection",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-    }
-)
-
-
-class RefusedError(EgrethallError):
-    """A request was refused before or instead of an upstream's answer."""
-
-    def __init__(self, refusal: Refusal) -> None:
-        super().__init__(f"{refusal.reason.code}: {refusal.detail}")
-        self.refusal = refusal
 
 
 class UpstreamError(EgrethallError):
--- a/egrethall/types/_entry_exchange.py
+++ b/egrethall/types/_entry_exchange.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from egrethall.types._calls import Headers
+from egrethall.types._http_headers import Headers
 from egrethall.types._published import UpstreamReading
 
 
--- a/egrethall/types/_refusals.py
+++ b/egrethall/types/_refusals.py
@@ -3,6 +3,8 @@
 import enum
 from dataclasses import dataclass
 
+from egrethall.types._errors import EgrethallError
+
 
 class RequestRun(enum.Enum):
     """Whether a refused request was run by an upstream."""
@@ -56,3 +58,11 @@
     detail: str
     #: Time after which a new try makes sense, where it is known.
     retry_after_seconds: float | None = None
+
+
+class RefusedError(EgrethallError):
+    """A request was refused before or instead of an upstream's answer."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(f"{refusal.reason.code}: {refusal.detail}")
+        self.refusal = refusal
