--- a/egrethall/quota/_allowance.py
+++ b/egrethall/quota/_allowance.py
@@ -1,8 +1,12 @@
 """The allowance of one organisation, as one instance sees it."""
 
-from dataclasses import dataclass, field
-
 from egrethall.fleet import FleetLevel, OrganisationUsage
+from egrethall.quota._usage import (
+    AllowanceExcess,
+    PeerUsage,
+    SteadyDemand,
+    UsageReport,
+)
 
 #: Share of the tolerated excess that is planned for. The rest covers requests of
 #: other instances that this one has not heard of yet.
@@ -28,10 +32,6 @@
 #: Part of an even share that an instance keeps although it reports no demand.
 MIN_SHARE_RATIO = 0.5
 
-#: Weight of a report in the steady demand, by which shares are set aside. Both sides
-#: of a cut must come to nearly the same shares, so it evens out a second's chance.
-STEADY_WEIGHT = 0.2
-
 #: Demand below which nothing is reported and remembered.
 NO_DEMAND_PER_SECOND = 0.01
 
@@ -41,73 +41,6 @@
 FIXED_SHARE_SECONDS = 30.0
 
 
-@dataclass(frozen=True)
-class AllowanceExcess:
-    """By how much a window of requests may exceed rate and burst."""
-
-    window_seconds: float
-    ratio: float
-    requests: float
-
-    def count(self, rate_per_second: float, burst: float) -> float:
-        """Returns the requests beyond rate and burst that one window bears."""
-        return self.ratio * (rate_per_second * self.window_seconds + burst) + (
-            self.requests
-        )
-
-
-class _SteadyDemand:
-    """Demand averaged over the reports up to a second ago.
-
-    It lags by two reports: a silence is noticed two rounds after a cut, and what is
-    asked behind the cut must not count.
-    """
-
-    # There is one for each organisation and other instance.
-    __slots__ = ("_last", "_last_but_one", "per_second")
-
-    def __init__(self) -> None:
-        self.per_second = 0.0
-        self._last = 0.0
-        self._last_but_one = 0.0
-
-    def add(self, demand_per_second: float) -> None:
-        """Takes the report of one round."""
-        self.per_second += STEADY_WEIGHT * (self._last_but_one - self.per_second)
-        self._last_but_one, self._last = self._last, demand_per_second
-
-
-@dataclass(frozen=True)
-class UsageReport:
-    """What another instance has reported, in a heartbeat or to the collector."""
-
-    name: str
-    run: int
-    #: Number of the message among the heartbeats and reports of the run.
-    sequence: int
-    usage: OrganisationUsage
-
-
-@dataclass(slots=True)
-class _PeerUsage:
-    """What another instance has last reported."""
-
-    run: int
-    sequence: int
-    period: int
-    admitted: int
-    demand_per_second: float
-    #: Clock reading of the report.
-    reported_at_seconds: float
-    steady_demand: _SteadyDemand = field(default_factory=_SteadyDemand)
-    #: Clock reading at which it fell silent; None while it is heard.
-    silent_at_seconds: float | None = None
-    #: Part of the allowance that is set aside for it while it is silent.
-    share: float = 0.0
-    #: Tokens set aside for it since it fell silent.
-    reserved: float = 0.0
-
-
 class OrganisationAllowance:
     """A token bucket of the whole fleet, estimated by each instance.
 
@@ -152,8 +85,8 @@
         self._report_seconds = 0.0
         self._round_limit = self._level + self._room
         self._demand_per_second = 0.0
-        self._steady_demand = _SteadyDemand()
-        self._peers: dict[str, _PeerUsage] = {}
+        self._steady_demand = SteadyDemand()
+        self._peers: dict[str, PeerUsage] = {}
         self._knows_level = full
         #: Part of the allowance that is set aside for silent instances.
         self._share_aside = 0.0
@@ -254,7 +187,7 @@
         known = self._peers.get(report.name)
         if known is not None and known.run == run and report.sequence <= known.sequence:
             return
-        peer = _PeerUsage(
+        peer = PeerUsage(
             run,
             report.sequence,
             usage.period,
@@ -287,7 +220,7 @@
         :return: True if the next report that it has none would change nothing.
         """
         peer = self._peers.setdefault(
-            name, _PeerUsage(run, sequence, 0, 0, 0.0, self._now_seconds)
+            name, PeerUsage(run, sequence, 0, 0, 0.0, self._now_seconds)
         )
         if peer.run == run and sequence < peer.sequence:
             return False
@@ -332,7 +265,7 @@
         if known is not None:
             self._take_back(known, used_up=True)
 
-    def _includes(self, known: _PeerUsage | None) -> bool:
+    def _includes(self, known: PeerUsage | None) -> bool:
         """Returns whether the level already has what an instance reports now.
 
         The collector had counted all that was reported by the time when its level was
@@ -342,7 +275,7 @@
             return known.reported_at_seconds <= self._followed_at_seconds
         return self._now_seconds - self._followed_at_seconds <= self._report_seconds
 
-    def _find_heard(self) -> list[_PeerUsage]:
+    def _find_heard(self) -> list[PeerUsage]:
         return [p for p in self._peers.values() if p.silent_at_seconds is None]
 
     @property
@@ -378,7 +311,7 @@
             self._level += self._room * peer.share - peer.reserved
             self._share_aside += peer.share
 
-    def _take_back(self, peer: _PeerUsage, *, used_up: bool) -> None:
+    def _take_back(self, peer: PeerUsage, *, used_up: bool) -> None:
         """Ends what is set aside for an instance.
 
         :param used_up: True for a process that has ended or was given up: it may have
--- a/egrethall/quota/_book.py
+++ b/egrethall/quota/_book.py
@@ -11,12 +11,9 @@
     OrganisationUsage,
     UsageReports,
 )
-from egrethall.quota._allowance import (
-    AllowanceExcess,
-    OrganisationAllowance,
-    UsageReport,
-)
+from egrethall.quota._allowance import OrganisationAllowance
 from egrethall.quota._collectors import Collectors
+from egrethall.quota._usage import AllowanceExcess, UsageReport
 from egrethall.types import (
     Clock,
     PublishedConfiguration,
@@ -194,7 +191,7 @@
                 allowance.follow(level, now_seconds)
 
     def observe(self, heartbeat: Heartbeat) -> None:
-        """Charges what another instance reports and passes on."""
+        """Charges what another instance reports."""
         if heartbeat.leaving:
             self._forget(heartbeat.name)
             return
