Charge what others admitted after a collector's answer

An instance whose organisation then rested kept a level of 13.5 where 5 were left. What was admitted since the last report is now spread over the time, and the part after the answer is charged.

Fleets of up to 24 instances have no collectors and work as before.

--- a/egrethall/quota/_allowance.py
+++ b/egrethall/quota/_allowance.py
@@ -204,13 +204,12 @@
         if known is not None:
             self._take_back(known, used_up=known.run != run)
         self._peers[report.name] = peer
-        if self._includes(known):
-            return
         # What a new acquaintance did before is in the level that was taken over.
         before = 0 if heard_before else usage.admitted
         if known is not None and (known.run, known.period) == (run, usage.period):
             before = known.admitted
-        self._charge(max(0.0, usage.admitted - before))
+        unreported = max(0.0, usage.admitted - before)
+        self._charge(unreported * self._find_uncounted_ratio(known))
 
     def observe_idle(self, name: str, run: int, sequence: int) -> bool:
         """Learns that another instance has no request of the organisation.
@@ -265,15 +264,19 @@
         if known is not None:
             self._take_back(known, used_up=True)
 
-    def _includes(self, known: PeerUsage | None) -> bool:
-        """Returns whether the level already has what an instance reports now.
+    def _find_uncounted_ratio(self, known: PeerUsage | None) -> float:
+        """Returns the part of an instance's report that the level does not have yet.
 
-        The collector had counted all that was reported by the time when its level was
-        taken over.
+        The collector had counted what was admitted by the time when its level was taken
+        over. What was admitted since the last report is spread evenly over the time.
         """
+        last_at_seconds = self._now_seconds - self._report_seconds
         if known is not None:
-            return known.reported_at_seconds <= self._followed_at_seconds
-        return self._now_seconds - self._followed_at_seconds <= self._report_seconds
+            last_at_seconds = known.reported_at_seconds
+        if last_at_seconds >= self._followed_at_seconds:
+            return 1.0
+        since_seconds = self._now_seconds - last_at_seconds
+        return (self._now_seconds - self._followed_at_seconds) / since_seconds
 
     def _find_heard(self) -> list[PeerUsage]:
         return [p for p in self._peers.values() if p.silent_at_seconds is None]
--- a/egrethall/quota/tests/allowances.feature
+++ b/egrethall/quota/tests/allowances.feature
@@ -199,6 +199,12 @@
     And a late heartbeat of the first one reaches the other
     Then the collector and the last to report have 3 tokens left
 
+  Scenario: Heartbeats charge what was admitted after the collector's answer
+    Given instances a, b and c of a large fleet, and an allowance of 10
+    When one that does not collect admits 4 requests and reports them
+    And 1.0 s later another one admits 6 requests and its heartbeat reaches the first
+    Then it has 0 tokens left, too
+
   Scenario: Requests that are admitted before the answer comes stay charged
     Given instances a, b and c of a large fleet, and an allowance of 10
     When one that does not collect reports 4 requests and admits 2 before the answer
--- a/egrethall/quota/tests/steps/allowance_steps.py
+++ b/egrethall/quota/tests/steps/allowance_steps.py
@@ -612,6 +612,19 @@
     assert level == count, level
 
 
+@when(
+    "{seconds:f} s later another one admits {count:d} requests and its heartbeat"
+    " reaches the first"
+)
+def step_impl(context, seconds, count):
+    trio = context.trio
+    trio.clock.advance(seconds)
+    for name, book in trio.books.items():
+        book.begin_round(trio.names - {name}, frozenset(), trio.TURN_SECONDS)
+    trio.admit(trio.second, count)
+    trio.books[trio.first].observe(trio.make_heartbeat(trio.second))
+
+
 @when("a late heartbeat of the first one reaches the other")
 def step_impl(context):
     context.trio.books[context.trio.second].observe(context.late_heartbeat)
