Log the rate limit that upstreams state

Neither logs nor metrics could tell whether instances ignore a stated rate limit, keep it only by themselves, or lose it when they are replaced. The limit in the head of each response is decoded and logged when it changes, at the line of each request and as egrethall_limited_requests_total. No decision uses it.

--- a/egrethall/entry/_metrics.py
+++ b/egrethall/entry/_metrics.py
@@ -43,6 +43,8 @@
         self.requests: Counter[tuple[str, str]] = Counter()
         #: Attempts by service, retries and hedged attempts included.
         self.attempts: Counter[str] = Counter()
+        #: Requests whose last upstream stated a rate limit, by service.
+        self.limited_requests: Counter[str] = Counter()
         #: Time from a request's head to its response, by service.
         self.latencies: dict[str, LatencyHistogram] = {}
         #: Time spent on selecting upstreams.
@@ -81,6 +83,14 @@
         for service, count in self.attempts.items():
             attempts.add_metric([service], count)
         yield attempts
+        limited = CounterMetricFamily(
+            "egrethall_limited_requests",
+            "Requests sent to upstreams that state a rate limit.",
+            labels=["service"],
+        )
+        for service, count in self.limited_requests.items():
+            limited.add_metric([service], count)
+        yield limited
         latencies = HistogramMetricFamily(
             "egrethall_request_seconds",
             "Time from the head of a request to its answer.",
--- a/egrethall/entry/_observer.py
+++ b/egrethall/entry/_observer.py
@@ -67,6 +67,8 @@
         if record.attempts:
             metrics.attempts[service] += record.attempts
             metrics.placing_latency.observe(record.placing_seconds)
+            if record.rate_limit_per_second is not None:
+                metrics.limited_requests[service] += 1
         succeeded = record.outcome == OUTCOME_ANSWERED
         limiter = self._success_limiter if succeeded else self._failure_limiter
         if not limiter.try_acquire():
@@ -84,6 +86,7 @@
             version=record.version,
             upstream=record.upstream,
             reading=record.reading,
+            limit_per_second=record.rate_limit_per_second,
             attempts=record.attempts,
             failures=";".join(record.failures),
             detail=record.detail,
--- a/egrethall/entry/_request.py
+++ b/egrethall/entry/_request.py
@@ -33,6 +33,9 @@
     #: Load of the selected upstream when the request was sent: running requests,
     #: waiting requests, slots and slowness ratio.
     reading: str = ""
+    #: Rate limit that the selected upstream stated before the request was sent; None
+    #: without one.
+    rate_limit_per_second: float | None = None
     #: Time spent on selecting upstreams, over all attempts but hedged ones.
     placing_seconds: float = 0.0
     outcome: str = ""
--- a/egrethall/entry/_upstream_exchange.py
+++ b/egrethall/entry/_upstream_exchange.py
@@ -13,6 +13,7 @@
     ConnectionLostError,
     ResponseHead,
 )
+from egrethall.placement import UpstreamState
 from egrethall.types import Clock, ExchangeFormat, Headers, UpstreamHead
 
 #: Responses up to this length are received completely before the caller gets any part
@@ -55,6 +56,7 @@
             f"{reading.running},{reading.waiting},{reading.slots},"
             f"{reading.slowness_ratio:.2f}"
         )
+        record.rate_limit_per_second = state.rate_limit_per_second
         state.sent_requests += 1
         remaining_seconds = (
             request.deadline_at_seconds - self._clock.monotonic_seconds()
@@ -67,7 +69,7 @@
                     connection = await ClientConnection.open(
                         state.entry.address, CONNECT_TIMEOUT_SECONDS
                     )
-                outcome = await self._exchange(request, connection, state.name)
+                outcome = await self._exchange(request, connection, state)
         except ConnectError as error:
             state.observe_failure("no connection")
             return SendOutcome(SendResult.NOT_RUN, str(error), state.name)
@@ -98,16 +100,20 @@
         return outcome
 
     async def _exchange(
-        self, request: AdmittedRequest, connection: ClientConnection, upstream: str
+        self,
+        request: AdmittedRequest,
+        connection: ClientConnection,
+        state: UpstreamState,
     ) -> SendOutcome:
-        headers = self._build_headers(request, upstream)
+        headers = self._build_headers(request, state.name)
         await connection.send(request.method, request.target, headers, request.body)
         for _ in range(MAX_SKIPPED_RESPONSES + 1):
             received = await connection.receive_head()
             head = self._format.decode_upstream_head(received.status, received.headers)
             if head.request_id in ("", request.head.request_id):
+                state.observe_rate_limit(head.rate_limit_per_second, "response")
                 return await self._receive_response(
-                    connection, upstream, received, head
+                    connection, state.name, received, head
                 )
             await connection.skip_response()
         raise UntrustedResponseError("responses to other requests")
--- a/egrethall/placement/_upstream_state.py
+++ b/egrethall/placement/_upstream_state.py
@@ -33,6 +33,8 @@
         self._cold_until_seconds = now_seconds + entry.cold_seconds
         self._penalized_until_seconds = float("-inf")
         self._consecutive_failures = 0
+        #: Rate limit that the upstream states; None without one.
+        self._rate_limit_per_second: float | None = None
         self._failure_ratio = 0.0
         self._failure_ratio_at_seconds = now_seconds
 
@@ -51,6 +53,11 @@
         """Whether it is avoided because of a recent failure."""
         return self._clock.monotonic_seconds() < self._penalized_until_seconds
 
+    @property
+    def rate_limit_per_second(self) -> float | None:
+        """Requests per second that it accepts from the whole fleet, or None."""
+        return self._rate_limit_per_second
+
     @property
     def failure_ratio(self) -> float:
         """Fraction of failures among recent outcomes; decays without new ones."""
@@ -69,6 +76,24 @@
         """Records for how long the upstream reports to stay cold."""
         self._cold_until_seconds = self._clock.monotonic_seconds() + cold_seconds
 
+    def observe_rate_limit(self, limit_per_second: float | None, source: str) -> None:
+        """Records the rate limit that a response of the upstream states.
+
+        :param limit_per_second: None if the response states no limit.
+        :param source: the kind of response, for the log.
+        """
+        known = self._rate_limit_per_second
+        self._rate_limit_per_second = limit_per_second
+        if limit_per_second != known:
+            logger.info(
+                "upstream rate limit changed",
+                upstream=self.name,
+                limit_per_second=limit_per_second,
+                before=known,
+                source=source,
+                sent_requests=self.sent_requests,
+            )
+
     def observe_success(self) -> None:
         """Records that the upstream responded to a request."""
         self._consecutive_failures = 0
--- a/egrethall/platform/_headers.py
+++ b/egrethall/platform/_headers.py
@@ -17,6 +17,7 @@
 _INSTANCE_ID = b"x-instance-id"
 _API_KEY = b"x-api-key"
 _SERVER_LOAD = b"x-server-load"
+_SERVER_LIMIT = b"server-limit"
 _NOT_EXECUTED = b"x-not-executed"
 _SERVER_SIGNATURE = b"x-server-signature"
 _TENANT = b"x-tenant"
@@ -101,6 +102,7 @@
             upstream=first_values.get(_INSTANCE_ID, b"").decode("latin-1"),
             cold_seconds=(_parse_non_negative(first_values.get(_WARMUP_MS)) or 0.0)
             / 1000.0,
+            rate_limit_per_second=_parse_non_negative(first_values.get(_SERVER_LIMIT)),
             idle_seconds=None if keep_alive is None else float(keep_alive.group(1)),
         )
 
--- a/egrethall/platform/tests/headers.feature
+++ b/egrethall/platform/tests/headers.feature
@@ -52,6 +52,11 @@
       | 200    | x-instance-id      | i-8        | upstream        | i-8     |
       | 200    | x-warmup-ms        | 1500       | cold_seconds    | 1.5     |
       | 200    | x-warmup-ms        | soon       | cold_seconds    | 0.0     |
+      | 200    | server-limit       | 2.5        | rate_limit_per_second | 2.5     |
+      | 503    | server-limit       | 0          | rate_limit_per_second | 0.0     |
+      | 200    | server-limit       | many       | rate_limit_per_second | None    |
+      | 200    | server-limit       | -1         | rate_limit_per_second | None    |
+      | 200    | server-limit       | nan        | rate_limit_per_second | None    |
       | 200    | keep-alive         | timeout=10 | idle_seconds    | 10.0    |
       | 200    | keep-alive         | max=5      | idle_seconds    | None    |
 
--- a/egrethall/types/_entry_exchange.py
+++ b/egrethall/types/_entry_exchange.py
@@ -43,6 +43,9 @@
     upstream: str
     #: Time for which the upstream says that it stays cold.
     cold_seconds: float
+    #: Requests per second that the upstream accepts from the whole fleet; None if it
+    #: states no limit.
+    rate_limit_per_second: float | None
     #: Time after which the upstream closes the idle connection; None if unknown.
     idle_seconds: float | None
 
