Add a failing test of the rate limits that upstreams state

Three entry instances, two of three upstreams that state 2 requests a second: each upstream runs more than the tolerated 17 requests in 4 s.

--- /dev/null
+++ b/egrethall/entry/tests/rate_limits.feature
@@ -0,0 +1,15 @@
+Feature: Rate limits that upstreams state
+  Guards against a fleet that together sends an upstream more than the rate limit that it
+  states, and against requests that wait for an upstream at its limit. Real processes on
+  loopback.
+
+  The tolerated number is the platform's: one and a half times the limit, and 5 requests.
+
+  Background:
+    Given a fleet of 3 entry instances and 3 upstreams
+
+  Scenario: A fleet exceeds the rate limit that an upstream states
+    Given upstreams u-0 u-1 state a rate limit of 2 requests a second
+    When requests are sent to all instances without a pause for 8 s
+    Then upstreams u-0 u-1 ran at most 17 requests in any 4 s
+    And at least 95 of 100 requests are answered with status 200
--- a/standins/platform_upstream.py
+++ b/standins/platform_upstream.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import json
+import time
 from dataclasses import dataclass, field, replace
 from typing import Annotated
 
@@ -28,6 +29,8 @@
     cold_ms: float = 0.0
     #: Work time relative to the usual, in hundredths.
     slowness: int = 100
+    #: Requests per second that it states to accept; 0 states no limit.
+    limit_per_second: float = 0.0
 
 
 @dataclass
@@ -39,6 +42,8 @@
     path: str
     headers: dict[str, str]
     body: str
+    #: Unix time at which it began.
+    started_at_seconds: float
     #: running, done or cancelled.
     state: str = "running"
 
@@ -98,8 +103,13 @@
         }
         if self._behaviour.cold_ms:
             headers["X-Warmup-Ms"] = f"{self._behaviour.cold_ms:g}"
+        headers |= self._describe_limit()
         return _render(200 if self._behaviour.healthy else 503, headers, b"")
 
+    def _describe_limit(self) -> dict[str, str]:
+        limit_per_second = self._behaviour.limit_per_second
+        return {"Server-Limit": f"{limit_per_second:g}"} if limit_per_second else {}
+
     def _describe_load(self) -> str:
         waiting = max(0, self._running - self._slots)
         running = self._running - waiting
@@ -115,7 +125,7 @@
         behaviour = self._behaviour
         attempt = request.headers.get("x-attempt-id", "")
         expected = request.headers.get("x-expected-instance", self._name)
-        echo = {"X-Attempt-Id": attempt}
+        echo = {"X-Attempt-Id": attempt, **self._describe_limit()}
         if expected != self._name:
             writer.write(_render(421, {**echo, "X-Instance-Id": self._name}, b""))
             return True
@@ -128,6 +138,7 @@
             request.path,
             request.headers,
             request.body.decode("latin-1"),
+            time.time(),
         )
         self._runs.append(run)
         self._running += 1
