Keep requests to an upstream within the rate limit that it states

Cause: the limit in an upstream's responses was forwarded to callers and used by no decision. Placement knows two kinds of bounds that the upstream itself sets, cold rate and slots; this third one reached no type inside the instance. Class: a statement of a dependency that is passed through unread, with a bound that only the whole fleet can keep.

Placement probes no upstream whose share has no room, charges each send, hedges and retries included, at the one place where a probe is chosen, and refuses at once when no upstream has room in time.

Why it works: every send is preceded by a probe, which brings the limit, so that no instance can send without it; the shares add up to the limit whatever the demand, without messages that can be lost.

--- a/egrethall/entry/_daemon.py
+++ b/egrethall/entry/_daemon.py
@@ -36,7 +36,13 @@
 from egrethall.entry._upstream_exchange import UpstreamExchange
 from egrethall.fleet import ROUND_SECONDS, FleetMembers, RecordServer
 from egrethall.forwarding import RetryBudget
-from egrethall.placement import ColdStartShares, CrashGuard, UpstreamTable
+from egrethall.placement import (
+    ColdStartShares,
+    CrashGuard,
+    PeerInstance,
+    RateLimitShares,
+    UpstreamTable,
+)
 from egrethall.platform import PlatformExchangeFormat, StoreClient, decode_record
 from egrethall.quota import ExcessTolerance, FleetAllowances
 from egrethall.records import RecordCache, RecordFollower, SourceStatus
@@ -174,6 +180,13 @@
         """Returns the names of the other instances."""
         return [member.name for member in self._members.find_confirmed()]
 
+    def find_reachable_peers(self) -> Sequence[PeerInstance]:
+        """Returns the other instances from which heartbeats arrive."""
+        return [
+            PeerInstance(member.name, member.availability_zone)
+            for member in self._members.find_reachable()
+        ]
+
     def _build_application(self, tasks: TaskGroup) -> EntryApplication:
         exchange_format = PlatformExchangeFormat()
         prober = Prober(self._pool, exchange_format, self._clock, tasks)
@@ -182,6 +195,12 @@
             self._upstream_table,
             prober,
             ColdStartShares(self._settings.name, self._clock),
+            RateLimitShares(
+                self._settings.name,
+                self._settings.availability_zone,
+                self,
+                self._clock,
+            ),
             self,
             self._clock,
             self._random,
--- a/egrethall/entry/_placer.py
+++ b/egrethall/entry/_placer.py
@@ -11,6 +11,7 @@
     CandidateLoad,
     ColdStartShares,
     CostPolicy,
+    RateLimitShares,
     UpstreamTable,
     estimate_cost,
 )
@@ -77,6 +78,7 @@
         table: UpstreamTable,
         prober: Prober,
         cold_shares: ColdStartShares,
+        limit_shares: RateLimitShares,
         instances: InstanceDirectory,
         clock: Clock,
         random_source: RandomSource,
@@ -86,6 +88,7 @@
         self._table = table
         self._prober = prober
         self._cold_shares = cold_shares
+        self._limit_shares = limit_shares
         self._instances = instances
         self._clock = clock
         self._random = random_source
@@ -114,6 +117,11 @@
                     RefusalReason.NO_UPSTREAM,
                     "No upstream of the service is known.",
                 )
+            if self._find_next_send_seconds(request) > give_up_at_seconds:
+                raise self._make_refusal(
+                    RefusalReason.OVERLOADED,
+                    "All upstreams of the service are at their rate limits.",
+                )
             now_seconds = self._clock.monotonic_seconds()
             if now_seconds + PROBE_BATCH_INTERVAL_SECONDS >= give_up_at_seconds:
                 raise self._make_refusal(
@@ -143,7 +151,7 @@
             raise
         batch.discard_pending()
         chosen = None if best is None else best[1]
-        if chosen is not None and not self._take_cold_turn(request, chosen):
+        if chosen is not None and not self._take_turn(request, chosen):
             chosen = None
         for probe in batch.results:
             if probe is not chosen:
@@ -162,11 +170,16 @@
         :param other_zone_count: upstreams among them to take from other availability
             zones.
         """
+        at_limit = {
+            state.name
+            for state in self._table.find_usable(request.service.name)
+            if not self._limit_shares.may_send(state)
+        }
         states = self._table.choose_candidates(
             request.service.name,
             self._own_zone,
             count,
-            request.excluded | batch.probed_names,
+            request.excluded | batch.probed_names | at_limit,
             other_zone_count=other_zone_count,
         )
         if not states:
@@ -182,7 +195,12 @@
     def _find_best(
         self, request: PlacementRequest, probes: list[ProbeResult]
     ) -> tuple[float, ProbeResult] | None:
-        usable = [probe for probe in probes if self._table.is_usable(probe.state)]
+        usable = [
+            probe
+            for probe in probes
+            if self._table.is_usable(probe.state)
+            and self._limit_shares.may_send(probe.state)
+        ]
         # Unhealthy and cold upstreams are used only if there are no others.
         for candidates in (
             [probe for probe in usable if probe.healthy and not probe.cold],
@@ -217,18 +235,26 @@
             request.kind,
         )
 
-    def _take_cold_turn(self, request: PlacementRequest, probe: ProbeResult) -> bool:
-        """Returns whether the upstream may get the request at its cold rate.
+    def _take_turn(self, request: PlacementRequest, probe: ProbeResult) -> bool:
+        """Returns whether the upstream may get the request now.
 
-        Takes a turn from this instance's share of that rate. Warm upstreams have no
-        such limit.
+        Takes a turn from this instance's shares of the upstream's cold rate and of the
+        rate limit that it states, where it has them.
         """
-        if not probe.cold:
-            return True
-        return self._cold_shares.try_acquire(
+        if probe.cold and not self._cold_shares.try_acquire(
             probe.state.name,
             request.service.cold_rate_per_second,
             self._instances.find_peer_names(),
+        ):
+            return False
+        self._limit_shares.record_send(probe.state)
+        return True
+
+    def _find_next_send_seconds(self, request: PlacementRequest) -> float:
+        """Returns the clock reading from which some upstream's limit has room."""
+        return min(
+            self._limit_shares.find_next_send_seconds(state)
+            for state in self._table.find_usable(request.service.name)
         )
 
     def _make_refusal(self, reason: RefusalReason, detail: str) -> RefusedError:
--- a/egrethall/entry/tests/steps/placer_steps.py
+++ b/egrethall/entry/tests/steps/placer_steps.py
@@ -5,7 +5,7 @@
 
 from egrethall.entry._placer import PlacementRequest, Placer
 from egrethall.entry._prober import ProbeResult
-from egrethall.placement import ColdStartShares, UpstreamTable
+from egrethall.placement import ColdStartShares, RateLimitShares, UpstreamTable
 from egrethall.types import (
     PublishedService,
     RequestKind,
@@ -81,6 +81,7 @@
             table,
             prober,
             ColdStartShares("entry-0", clock),
+            RateLimitShares("entry-0", "east", self, clock),
             self,
             clock,
             random.Random(3),
@@ -107,6 +108,9 @@
     def find_peer_names(self):
         return []
 
+    def find_reachable_peers(self):
+        return []
+
 
 @given("upstreams with these probe responses")
 def step_impl(context):
--- a/egrethall/fleet/_members.py
+++ b/egrethall/fleet/_members.py
@@ -17,6 +17,10 @@
 #: only partitioned from this one goes on using its shares.
 EXPIRY_SECONDS = 30.0
 
+#: Time without a heartbeat after which an instance no longer counts as reachable, in
+#: cycles. Long enough that lost datagrams alone make no instance unreachable.
+REACHABLE_TIMEOUT_CYCLES = 4.0
+
 #: Other instances whose names and addresses a heartbeat carries: in a round, and in the
 #: answer to an instance that was not known before.
 MEMBERS_PER_HEARTBEAT = 2
@@ -136,6 +140,16 @@
         """Returns the instances that have sent a heartbeat, silent ones included."""
         return [member for member in self._members.values() if member.confirmed]
 
+    def find_reachable(self) -> list[Member]:
+        """Returns the instances whose heartbeats arrive."""
+        timeout_seconds = REACHABLE_TIMEOUT_CYCLES * self.cycle_seconds
+        oldest_seconds = self._clock.monotonic_seconds() - timeout_seconds
+        return [
+            member
+            for member in self._members.values()
+            if member.confirmed and member.last_seen_at_seconds >= oldest_seconds
+        ]
+
     def find_names(self) -> frozenset[str]:
         """Returns the names of all known instances, silent ones included."""
         return frozenset(self._members)
--- a/egrethall/placement/__init__.py
+++ b/egrethall/placement/__init__.py
@@ -9,6 +9,11 @@
 )
 from egrethall.placement._crash_guard import CrashGuard
 from egrethall.placement._hedging import HedgePolicy
+from egrethall.placement._rate_limits import (
+    PeerDirectory,
+    PeerInstance,
+    RateLimitShares,
+)
 from egrethall.placement._routes import HostRoutes, choose_service
 from egrethall.placement._table import REPUBLISH_GRACE_SECONDS, UpstreamTable
 from egrethall.placement._upstream_state import UpstreamState
@@ -19,7 +24,10 @@
     "CrashGuard",
     "HedgePolicy",
     "HostRoutes",
+    "PeerDirectory",
+    "PeerInstance",
     "REPUBLISH_GRACE_SECONDS",
+    "RateLimitShares",
     "CandidateLoad",
     "UpstreamState",
     "UpstreamTable",
--- a/egrethall/placement/_table.py
+++ b/egrethall/placement/_table.py
@@ -119,10 +119,14 @@
         Upstreams of ``zone`` are preferred, but ``other_zone_count`` places are
         reserved for other availability zones. Recently failed upstreams are chosen only
         if there are too few others, and cold ones only if there are still too few.
+        Upstreams with a rate limit come first: what is not used of a limit is lost, and
+        the others are left to requests that find no limit with room.
         """
         usable = [s for s in self.find_usable(service) if s.name not in excluded]
+        sound = [s for s in usable if not s.penalized and not s.cold]
         tiers = (
-            [s for s in usable if not s.penalized and not s.cold],
+            [s for s in sound if s.rate_limit_per_second is not None],
+            [s for s in sound if s.rate_limit_per_second is None],
             [s for s in usable if s.penalized and not s.cold],
             [s for s in usable if s.cold],
         )
--- a/egrethall/placement/_upstream_state.py
+++ b/egrethall/placement/_upstream_state.py
@@ -18,6 +18,11 @@
 #: that has recovered is tried again.
 FAILURE_HALF_LIFE_SECONDS = 3.0
 
+#: Time for which a stated rate limit applies without being stated again. Upstreams
+#: without room under their limit are not probed, so that an instance learns only by
+#: this time that a limit has ended.
+RATE_LIMIT_VALIDITY_SECONDS = 2.0
+
 logger = structlog.get_logger(__name__)
 
 
@@ -35,6 +40,7 @@
         self._consecutive_failures = 0
         #: Rate limit that the upstream states; None without one.
         self._rate_limit_per_second: float | None = None
+        self._rate_limit_stated_at_seconds = now_seconds
         self._failure_ratio = 0.0
         self._failure_ratio_at_seconds = now_seconds
 
@@ -55,7 +61,15 @@
 
     @property
     def rate_limit_per_second(self) -> float | None:
-        """Requests per second that it accepts from the whole fleet, or None."""
+        """Requests per second that it accepts from the whole fleet.
+
+        None if it has stated no limit in the last :data:`RATE_LIMIT_VALIDITY_SECONDS`.
+        """
+        age_seconds = (
+            self._clock.monotonic_seconds() - self._rate_limit_stated_at_seconds
+        )
+        if age_seconds > RATE_LIMIT_VALIDITY_SECONDS:
+            return None
         return self._rate_limit_per_second
 
     @property
@@ -82,8 +96,12 @@
         :param limit_per_second: None if the response states no limit.
         :param source: the kind of response, for the log.
         """
+        if limit_per_second is None and self.rate_limit_per_second is not None:
+            # Not every response has to repeat the limit.
+            return
         known = self._rate_limit_per_second
         self._rate_limit_per_second = limit_per_second
+        self._rate_limit_stated_at_seconds = self._clock.monotonic_seconds()
         if limit_per_second != known:
             logger.info(
                 "upstream rate limit changed",
--- a/egrethall/placement/tests/decisions.feature
+++ b/egrethall/placement/tests/decisions.feature
@@ -1,6 +1,6 @@
-Feature: Placement decisions: cost, cold starts, crashes and hedging
+Feature: Placement decisions: cost, cold starts, rate limits, crashes and hedging
   Guards against sending to upstreams that a noisy neighbour slows down, overloading
-  cold upstreams, and resending requests that crash one upstream after the other.
+  cold upstreams and those that state a rate limit, and resending requests that crash one upstream after the other.
 
   A reading is written as running, waiting and slots, then slowness in percent.
 
@@ -34,6 +34,34 @@
       | 2         | each other         | 16    |
       | 141       | each other         | 16    |
 
+  Scenario Outline: The fleet's requests to an upstream exceed the rate limit that it states
+    Given <instances> instances in 3 zones and an upstream that accepts 3 requests a second
+    When all send whenever they may for 20 s and <event>
+    Then the upstream receives at most 23 requests in any 4 s
+    And the upstream receives at least 54 requests
+
+    Examples:
+      | instances | event                            |
+      | 1         | nothing happens                  |
+      | 2         | nothing happens                  |
+      | 18        | nothing happens                  |
+      | 141       | nothing happens                  |
+      | 18        | an instance is replaced each 2 s |
+      | 18        | an instance is lost each 2 s     |
+
+  Scenario Outline: A rate limit applies until it was not stated for 2 s
+    Given 1 instances in 3 zones and an upstream that accepts <limit> requests a second
+    When the upstream states <statement> and <seconds> s later a request is placed
+    Then the request <verdict>
+
+    Examples:
+      | limit | statement     | seconds | verdict         |
+      | 3     | the same      | 0.0     | may be sent     |
+      | 0     | the same      | 0.0     | may not be sent |
+      | 0     | no limit      | 1.9     | may not be sent |
+      | 0     | no limit      | 2.1     | may be sent     |
+      | 0     | a limit of 50 | 0.0     | may be sent     |
+
   Scenario Outline: A request that crashes upstreams is quarantined at all instances
     Given two instances that report crashes to each other
     When the request crashes <crashed>
--- a/egrethall/placement/tests/steps/decision_steps.py
+++ b/egrethall/placement/tests/steps/decision_steps.py
@@ -1,3 +1,4 @@
+import random
 import re
 
 from behave import given, then, when
@@ -7,9 +8,17 @@
     ColdStartShares,
     CrashGuard,
     HedgePolicy,
+    PeerInstance,
+    RateLimitShares,
+    UpstreamState,
     estimate_cost,
 )
-from egrethall.types import ManualClock, RequestKind, UpstreamReading
+from egrethall.types import (
+    ManualClock,
+    RequestKind,
+    UpstreamEntry,
+    UpstreamReading,
+)
 
 TICK_SECONDS = 0.02
 
@@ -63,6 +72,71 @@
         )
 
 
+class LimitedFleet:
+    """Instances that all try to send to the same upstream with a rate limit."""
+
+    def __init__(self, instance_count, zone_count, limit_per_second):
+        self.clock = ManualClock()
+        self.random = random.Random(5)
+        self.limit_per_second = limit_per_second
+        self.peers = {
+            f"entry-{number}": PeerInstance(
+                f"entry-{number}", f"zone-{number % zone_count}"
+            )
+            for number in range(instance_count)
+        }
+        self.limits, self.states = {}, {}
+        for name in self.peers:
+            self.start(name)
+        self.sent_at_seconds = []
+
+    def start(self, name):
+        entry = UpstreamEntry("up-1", "read", "127.0.0.1:1", "zone-1", 4, False, 0.0)
+        self.states[name] = UpstreamState(entry, self.clock)
+        zone = self.peers[name].availability_zone
+        self.limits[name] = RateLimitShares(
+            name, zone, _LimitedInstance(self, name), self.clock
+        )
+
+    def remove(self, name):
+        del self.peers[name], self.limits[name], self.states[name]
+
+    def run(self, seconds, event):
+        for tick in range(round(seconds / TICK_SECONDS)):
+            self.clock.advance(TICK_SECONDS)
+            if tick and tick % round(2.0 / TICK_SECONDS) == 0:
+                self.apply(event)
+            for name, limits in self.limits.items():
+                state = self.states[name]
+                state.observe_rate_limit(self.limit_per_second, "probe")
+                if limits.may_send(state):
+                    limits.record_send(state)
+                    self.sent_at_seconds.append(self.clock.monotonic_seconds())
+
+    def apply(self, event):
+        if "replaced" in event:
+            self.start(self.random.choice(list(self.peers)))
+        elif "lost" in event:
+            self.remove(self.random.choice(list(self.peers)))
+
+    def find_peak_requests(self, seconds):
+        return max(
+            sum(start <= at < start + seconds for at in self.sent_at_seconds)
+            for start in self.sent_at_seconds
+        )
+
+
+class _LimitedInstance:
+    """Lists the peers of one instance of a :class:`LimitedFleet`."""
+
+    def __init__(self, fleet, name):
+        self.fleet = fleet
+        self.name = name
+
+    def find_reachable_peers(self):
+        return [peer for name, peer in self.fleet.peers.items() if name != self.name]
+
+
 class CrashFleet:
     """Two instances that report crashes to each other."""
 
@@ -121,6 +195,52 @@
     assert context.fleet.find_peak_requests_per_second() >= count
 
 
+@given(
+    "{instances:d} instances in {zones:d} zones"
+    " and an upstream that accepts {limit:d} requests a second"
+)
+def step_impl(context, instances, zones, limit):
+    context.fleet = LimitedFleet(instances, zones, limit)
+
+
+@when("all send whenever they may for {seconds:d} s and {event}")
+def step_impl(context, seconds, event):
+    context.fleet.run(seconds, event)
+
+
+@then("the upstream receives at most {bound:d} requests in any {seconds:d} s")
+def step_impl(context, bound, seconds):
+    peak = context.fleet.find_peak_requests(seconds)
+    assert peak <= bound, peak
+
+
+@then("the upstream receives at least {count:d} requests")
+def step_impl(context, count):
+    assert len(context.fleet.sent_at_seconds) >= count, context.fleet.sent_at_seconds
+
+
+@when("the upstream states {statement} and {seconds:f} s later a request is placed")
+def step_impl(context, statement, seconds):
+    fleet = context.fleet
+    state = fleet.states["entry-0"]
+    state.observe_rate_limit(fleet.limit_per_second, "probe")
+    changed = {"no limit": None, "a limit of 50": 50.0}
+    stated = changed.get(statement, fleet.limit_per_second)
+    state.observe_rate_limit(stated, "probe")
+    fleet.clock.advance(seconds)
+    context.may_send = fleet.limits["entry-0"].may_send(state)
+
+
+@then("the request may be sent")
+def step_impl(context):
+    assert context.may_send
+
+
+@then("the request may not be sent")
+def step_impl(context):
+    assert not context.may_send
+
+
 @given("two instances that report crashes to each other")
 def step_impl(context):
     context.fleet = CrashFleet()
