Send no request to an upstream far slower than a full one

Cause: while the faster candidates had no slot, placement took the cheapest of the others, whatever it cost. 31 % of the requests went to upstreams that a noisy neighbour had just slowed down (1 % before the limits were kept); each held a slot there for about seven usual times and came late or not at all.

Change: a candidate at least three times as slow as the fastest one probed is left out; the request waits for up to 0.12 of its objective as before, and is then refused at once with Retry-After. The bound is relative, so that a service that is slow as a whole is served as before.

The new scenario fails on the code before: five of five selections go to the upstream that is seven times slower.

--- a/egrethall/entry/_placer.py
+++ b/egrethall/entry/_placer.py
@@ -32,6 +32,11 @@
 #: Time for which a request waits for the first load reading.
 FIRST_READING_TIMEOUT_SECONDS = 0.3
 
+#: Slowness from which an upstream is not used, relative to the fastest one probed: a
+#: request waits for a slot of that one, or is refused. A response that takes so much
+#: longer misses most objectives and occupies a slot for as long.
+MAX_RELATIVE_SLOWNESS = 3.0
+
 #: Pause between two probe batches while no upstream has capacity for the request.
 PROBE_BATCH_INTERVAL_SECONDS = 0.02
 
@@ -202,11 +207,12 @@
             and self._limit_shares.may_send(probe.state)
         ]
         # Unhealthy and cold upstreams are used only if there are no others.
-        for candidates in (
+        for tier in (
             [probe for probe in usable if probe.healthy and not probe.cold],
             [probe for probe in usable if probe.healthy],
             usable,
         ):
+            candidates = _exclude_slow(tier)
             scored = [
                 (cost, index, probe)
                 for index, probe in enumerate(candidates)
@@ -262,3 +268,10 @@
             MIN_RETRY_AFTER_SECONDS, MAX_RETRY_AFTER_SECONDS
         )
         return RefusedError(Refusal(reason, detail, retry_after_seconds))
+
+
+def _exclude_slow(probes: list[ProbeResult]) -> list[ProbeResult]:
+    """Returns the upstreams that are not much slower than the fastest one."""
+    slowness_ratios = [probe.reading.slowness_ratio for probe in probes]
+    max_slowness_ratio = min(slowness_ratios, default=0.0) * MAX_RELATIVE_SLOWNESS
+    return [p for p in probes if p.reading.slowness_ratio < max_slowness_ratio]
--- a/egrethall/entry/tests/placer.feature
+++ b/egrethall/entry/tests/placer.feature
@@ -28,3 +28,18 @@
       | u-1      | 1                | 1.0      |
     When an upstream is selected 5 times
     Then each selection took at most 200 ms
+
+  Scenario Outline: A request is sent to a far slower upstream instead of being refused
+    Given upstreams with these probe responses
+      | upstream | answers after ms | slowness | running   |
+      | u-0      | 1                | <first>  | <running> |
+      | u-1      | 1                | <second> | 0         |
+    When an upstream is selected 5 times
+    Then upstream u-1 was selected <count> times
+    And each selection took at most 200 ms
+
+    Examples:
+      | first | running | second | count |
+      | 1.0   | 12      | 7.0    | 0     |
+      | 1.0   | 12      | 2.0    | 5     |
+      | 7.0   | 12      | 7.0    | 5     |
--- a/egrethall/entry/tests/steps/placer_steps.py
+++ b/egrethall/entry/tests/steps/placer_steps.py
@@ -8,6 +8,7 @@
 from egrethall.placement import ColdStartShares, RateLimitShares, UpstreamTable
 from egrethall.types import (
     PublishedService,
+    RefusedError,
     RequestKind,
     SystemClock,
     UpstreamEntry,
@@ -37,9 +38,11 @@
             self.tasks.start_soon(self.respond, state, batch)
 
     async def respond(self, state, batch):
-        delay_seconds, slowness = self.script[state.name]
+        delay_seconds, slowness, running = self.script[state.name]
         await anyio.sleep(delay_seconds)
-        reading = UpstreamReading(0, 0, SLOTS, slowness)
+        reading = UpstreamReading(
+            min(running, SLOTS), max(0, running - SLOTS), SLOTS, slowness
+        )
         batch.record_result(
             ProbeResult(state, None, reading, True, False, None, state.sent_requests)
         )
@@ -98,11 +101,15 @@
                     deadline_at_seconds,
                     frozenset(),
                 )
-                probe = await placer.place(request)
+                try:
+                    probe = await placer.place(request)
+                except RefusedError:
+                    probe = None
                 self.elapsed_seconds.append(
                     clock.monotonic_seconds() - started_at_seconds
                 )
-                self.selected.append(probe.state.name)
+                if probe is not None:
+                    self.selected.append(probe.state.name)
             prober.tasks.cancel_scope.cancel()
 
     def find_peer_names(self):
@@ -118,7 +125,12 @@
     for row in context.table:
         delay = row["answers after ms"]
         seconds = 60.0 if delay == "never" else int(delay) / 1000
-        context.subject.script[row["upstream"]] = (seconds, float(row["slowness"]))
+        running = int(row.get("running", "0"))
+        context.subject.script[row["upstream"]] = (
+            seconds,
+            float(row["slowness"]),
+            running,
+        )
 
 
 @given(
@@ -126,7 +138,7 @@
 )
 def step_impl(context, count, ms, slowness):
     for number in range(count):
-        context.subject.script[f"more-{number}"] = (ms / 1000, slowness)
+        context.subject.script[f"more-{number}"] = (ms / 1000, slowness, 0)
 
 
 @when("an upstream is selected {count:d} times")
@@ -145,6 +157,11 @@
     assert context.subject.selected.count(name) >= count, context.subject.selected
 
 
+@then("upstream {name} was selected {count:d} times")
+def step_impl(context, name, count):
+    assert context.subject.selected.count(name) == count, context.subject.selected
+
+
 @then("each selection took at most {ms:d} ms")
 def step_impl(context, ms):
     assert max(context.subject.elapsed_seconds) <= ms / 1000, (
