Log what is read from a restored store, and count the calls to it

After the store came back from an older copy, logs did not tell whether its records were ignored, never sent, or refused as an older configuration. No decision uses the era.

--- a/egrethall/entry/_daemon.py
+++ b/egrethall/entry/_daemon.py
@@ -94,9 +94,9 @@
             RUN_ID_RANDOM_BITS
         )
         self._serving = ServingState()
-        self._metrics = RequestMetrics()
         self._record_cache = RecordCache()
         self._source_status = SourceStatus(self._clock)
+        self._metrics = RequestMetrics(self._source_status.calls)
         self._upstream_table = UpstreamTable(self._clock, self._random)
         self._crash_guard = CrashGuard(self._clock)
         self._pool = ConnectionPool(self._clock)
--- a/egrethall/entry/_metrics.py
+++ b/egrethall/entry/_metrics.py
@@ -38,7 +38,9 @@
     replaced often and scraped rarely, so it is imported by the first scrape.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, source_calls: Counter[str] | None = None) -> None:
+        #: Calls to the record source by outcome.
+        self.source_calls = Counter() if source_calls is None else source_calls
         #: Completed requests by service and outcome.
         self.requests: Counter[tuple[str, str]] = Counter()
         #: Attempts by service, retries and hedged attempts included.
@@ -91,6 +93,14 @@
         for service, count in self.limited_requests.items():
             limited.add_metric([service], count)
         yield limited
+        source_calls = CounterMetricFamily(
+            "egrethall_record_source_calls",
+            "Calls to the record source by outcome.",
+            labels=["outcome"],
+        )
+        for outcome, count in self.source_calls.items():
+            source_calls.add_metric([outcome], count)
+        yield source_calls
         latencies = HistogramMetricFamily(
             "egrethall_request_seconds",
             "Time from the head of a request to its answer.",
--- a/egrethall/platform/_store.py
+++ b/egrethall/platform/_store.py
@@ -15,6 +15,7 @@
     enable_keep_alive,
 )
 from egrethall.types import (
+    Headers,
     HistoryLostError,
     Record,
     RecordBatch,
@@ -38,6 +39,8 @@
 
 _HISTORY_LOST_STATUS = 410
 
+_ERA_HEADER = b"store-era"
+
 
 class StoreClient:
     """Implements :class:`~egrethall.types.RecordSource` with the platform's store."""
@@ -51,8 +54,9 @@
         records: list[Record] = []
         revision: int | None = None
         after = ""
+        era = 0
         for _ in range(MAX_PAGES):
-            page = await self._request_json(
+            page, era = await self._request_json(
                 f"/kv-range?prefix=&after={quote(after, safe='')}",
                 RESPONSE_TIMEOUT_SECONDS,
             )
@@ -62,20 +66,22 @@
             items = [_decode_record(item) for item in _read_list(page, "items")]
             records.extend(items)
             if not page.get("truncated") or not items:
-                return RecordBatch(revision, tuple(records), whole=True)
+                return RecordBatch(revision, tuple(records), whole=True, era=era)
             after = items[-1].key
         raise RecordSourceError(f"{self._address}: more than {MAX_PAGES} pages")
 
     async def wait_for_changes(self, after_revision: int) -> RecordBatch:
         """Returns the changes after a revision; waits for a while if there are none."""
         wait_ms = int(WATCH_WAIT_SECONDS * 1000)
-        response = await self._request_json(
+        response, era = await self._request_json(
             f"/kv-watch?prefix=&after={after_revision}&wait_ms={wait_ms}",
             WATCH_WAIT_SECONDS + RESPONSE_TIMEOUT_SECONDS,
         )
         events = _read_list(response, "events")
         return RecordBatch(
-            _read_revision(response), tuple(_decode_record(event) for event in events)
+            _read_revision(response),
+            tuple(_decode_record(event) for event in events),
+            era=era,
         )
 
     async def close(self) -> None:
@@ -86,10 +92,11 @@
 
     async def _request_json(
         self, target: str, timeout_seconds: float
-    ) -> Mapping[str, Any]:
+    ) -> tuple[Mapping[str, Any], int]:
+        """Returns the body of a successful response and the era of the store."""
         try:
             with anyio.fail_after(timeout_seconds):
-                status, body = await self._send_request(target)
+                status, headers, body = await self._send_request(target)
         except (HttpConnectionError, TimeoutError) as error:
             await self.close()
             raise RecordSourceError(f"{self._address}: {error or 'timeout'}") from error
@@ -112,9 +119,9 @@
             raise RecordSourceError(
                 f"{self._address}: the response is not a JSON object"
             )
-        return response
+        return response, _parse_era(headers)
 
-    async def _send_request(self, target: str) -> tuple[int, bytes]:
+    async def _send_request(self, target: str) -> tuple[int, Headers, bytes]:
         if self._connection is None or not self._connection.reusable:
             await self.close()
             self._connection = await ClientConnection.open(
@@ -124,7 +131,7 @@
         headers = ((b"host", self._address.encode("ascii")),)
         await self._connection.send("GET", target.encode("ascii"), headers)
         head = await self._connection.receive_head()
-        return head.status, await self._connection.receive_body()
+        return head.status, head.headers, await self._connection.receive_body()
 
 
 def _read_revision(response: Mapping[str, Any]) -> int:
@@ -134,6 +141,13 @@
     return revision
 
 
+def _parse_era(headers: Headers) -> int:
+    for name, value in headers:
+        if name == _ERA_HEADER and value.isdigit():
+            return int(value)
+    return 0
+
+
 def _read_list(response: Mapping[str, Any], name: str) -> list[Any]:
     value = response.get(name)
     if not isinstance(value, list):
--- a/egrethall/records/_cache.py
+++ b/egrethall/records/_cache.py
@@ -26,6 +26,8 @@
         #: Tombstones of removals up to this revision may be missing.
         self._compacted_revision = 0
         self._subscribers: list[Subscriber] = []
+        #: Records ignored because the cache has one of the same or a higher revision.
+        self.ignored_count = 0
 
     @property
     def revision(self) -> int:
@@ -64,6 +66,7 @@
     def _apply_record(self, record: Record) -> bool:
         known = self._records.get(record.key) or self._tombstones.get(record.key)
         if known is not None and known.revision >= record.revision:
+            self.ignored_count += 1
             return False
         if known is None and record.value is None:
             return False
--- a/egrethall/records/_follower.py
+++ b/egrethall/records/_follower.py
@@ -1,5 +1,6 @@
 """Keeps the record cache up to date with the record source."""
 
+from collections import Counter
 from collections.abc import Awaitable, Callable
 
 import anyio
@@ -10,6 +11,7 @@
     Clock,
     HistoryLostError,
     RandomSource,
+    RecordBatch,
     RecordSource,
     RecordSourceError,
 )
@@ -42,6 +44,8 @@
         self._clock = clock
         self._available = True
         self._recovered_at_seconds = float("-inf")
+        #: Calls to the source by outcome.
+        self.calls: Counter[str] = Counter()
 
     @property
     def available(self) -> bool:
@@ -65,14 +69,20 @@
 
     def observe_success(self, revision: int) -> None:
         """Records that a call succeeded."""
+        self.calls["answered"] += 1
         if self._available:
             return
         self._available = True
         self._recovered_at_seconds = self._clock.monotonic_seconds()
         logger.info("record source answers again", revision=revision)
 
+    def observe_history_loss(self) -> None:
+        """Records a call for changes that the source no longer knows."""
+        self.calls["history-lost"] += 1
+
     def observe_failure(self, error: RecordSourceError) -> None:
         """Records that a call failed."""
+        self.calls["failed"] += 1
         if self._available:
             logger.warning("record source lost", error=str(error))
         self._available = False
@@ -121,6 +131,7 @@
                 await self._read_once(needs_snapshot or not self._cache.revision)
                 needs_snapshot = False
             except HistoryLostError as error:
+                self._status.observe_history_loss()
                 logger.warning("record history lost; reading all", error=str(error))
                 needs_snapshot = True
                 await self._sleep(MIN_BACK_OFF_SECONDS * self._random.random())
@@ -175,11 +186,26 @@
         if needs_snapshot:
             batch = await self._source.read_all()
             self._status.observe_success(batch.revision)
-            self._cache.apply(batch)
+            self._apply_batch(batch)
             return
         with anyio.CancelScope() as self._watch_scope:
             batch = await self._source.wait_for_changes(self._cache.revision)
             self._status.observe_success(batch.revision)
-            self._cache.apply(batch)
+            self._apply_batch(batch)
         self._watch_scope = None
         await self._sleep(BATCHING_SECONDS)
+
+    def _apply_batch(self, batch: RecordBatch) -> None:
+        before, ignored_before = self._cache.revision, self._cache.ignored_count
+        self._cache.apply(batch)
+        ignored = self._cache.ignored_count - ignored_before
+        if batch.whole or ignored:
+            logger.info(
+                "records read",
+                snapshot=batch.whole,
+                era=batch.era,
+                revision=batch.revision,
+                before=before,
+                records=len(batch.records),
+                ignored=ignored,
+            )
--- a/egrethall/types/_records.py
+++ b/egrethall/types/_records.py
@@ -33,6 +33,8 @@
     records: tuple[Record, ...]
     #: True if keys that are not among the records do not exist.
     whole: bool = False
+    #: Number of times that the store was restored from a copy; 0 if it does not say.
+    era: int = 0
 
 
 class RecordSource(Protocol):
