Add a failing test of a store that is restored from a copy

The stand-in store keeps a copy, returns to it and gives revisions out again, with Store-Era in its responses. A configuration published afterwards is not in force within 2 s at two instances that had read newer revisions before.

--- a/egrethall/entry/tests/operations.feature
+++ b/egrethall/entry/tests/operations.feature
@@ -39,6 +39,13 @@
     And the store loses its history and answers again
     Then within 4 s both instances answer the revoked key with status 401
 
+  Scenario: A configuration published after the store was restored from a copy is ignored
+    Given the store is copied
+    And configuration versions 2 to 4 are published
+    When the store is restored from the copy
+    And configuration version 5 revokes key cuka-key
+    Then within 2 s both instances answer the revoked key with status 401
+
   Scenario: Invalid records leave the valid ones in force
     When the configuration is replaced by invalid bytes
     And upstream u-9 has an invalid entry
--- a/egrethall/entry/tests/steps/operation_steps.py
+++ b/egrethall/entry/tests/steps/operation_steps.py
@@ -54,9 +54,33 @@
     context.published_at = time.monotonic()
 
 
+@given("the store is copied")
+def step_impl(context):
+    context.fleet.control_store("copy")
+
+
+@given("configuration versions {first:d} to {last:d} are published")
+def step_impl(context, first, last):
+    for version in range(first, last + 1):
+        context.fleet.publish("op/config", make_configuration(version))
+
+    def is_in_force():
+        return all(
+            f"version={last} " in context.fleet.read_log(entry)
+            for entry in context.fleet.entry_names
+        )
+
+    context.fleet.wait_until(is_in_force, 2.0, f"version {last} in force")
+
+
+@when("the store is restored from the copy")
+def step_impl(context):
+    context.fleet.control_store("restore")
+
+
 @when("the store loses its history and answers again")
 def step_impl(context):
-    context.fleet.client.post(context.fleet._store_url("forget"))
+    context.fleet.control_store("forget")
     for entry in context.fleet.entry_names:
         context.fleet.set_store_faults(entry)
 
--- a/standins/entry_fleet.py
+++ b/standins/entry_fleet.py
@@ -174,6 +174,10 @@
         }
         self.publish(f"servers/{name}", {**entry, **fields})
 
+    def control_store(self, command: str) -> None:
+        """Calls a control command of the store, such as ``restore``."""
+        self.client.post(self._store_url(command))
+
     def set_store_faults(self, entry: str, **faults: object) -> None:
         """Sets what one entry instance meets at the store."""
         url = f"http://127.0.0.1:{self.ports[f'store-{entry}']}/control/faults"
--- a/standins/record_store.py
+++ b/standins/record_store.py
@@ -7,6 +7,8 @@
 - ``POST /control/faults`` with JSON :class:`StoreFaults` fields sets the faults of the
   port that is called.
 - ``POST /control/forget`` drops the history.
+- ``POST /control/copy`` keeps a copy, ``POST /control/restore`` returns to it and
+  begins a new era, in which revisions are given out again.
 - ``GET /control/calls`` returns the number of reading calls on the port.
 """
 
@@ -65,6 +67,8 @@
         self.current: dict[str, Change] = {}
         self.history: list[Change] = []
         self.history_start = self.revision
+        self.era = 1
+        self._copy: tuple[int, dict[str, Change]] = (self.revision, {})
         self.changed = asyncio.Condition()
 
     async def write(self, key: str, value: bytes | None) -> None:
@@ -79,6 +83,19 @@
         async with self.changed:
             self.changed.notify_all()
 
+    def copy(self) -> None:
+        """Keeps a copy of the records."""
+        self._copy = (self.revision, dict(self.current))
+
+    async def restore(self) -> None:
+        """Returns to the copy; what was written since is lost."""
+        self.revision, records = self._copy
+        self.current = dict(records)
+        self.forget()
+        self.era += 1
+        async with self.changed:
+            self.changed.notify_all()
+
     def forget(self) -> None:
         """Drops the history."""
         self.history.clear()
@@ -96,12 +113,15 @@
     def build_application(self) -> web.Application:
         """Returns the HTTP application."""
         application = web.Application(client_max_size=4 * 1024 * 1024)
+        application.on_response_prepare.append(self._add_era)
         application.router.add_get("/kv-range", self.read_range)
         application.router.add_get("/kv-watch", self.watch)
         application.router.add_put("/control/records/{key:.*}", self.write)
         application.router.add_delete("/control/records/{key:.*}", self.remove)
         application.router.add_post("/control/faults", self.set_faults)
         application.router.add_post("/control/forget", self.forget)
+        application.router.add_post("/control/copy", self.copy)
+        application.router.add_post("/control/restore", self.restore)
         application.router.add_get("/control/calls", self.count_calls)
         return application
 
@@ -126,11 +146,12 @@
             return fault
         after = int(request.query["after"])
         wait_seconds = int(request.query["wait_ms"]) / 1000
-        if after < self._store.history_start:
+        if not self._store.history_start <= after <= self._store.revision:
             return web.json_response({"error": "history dropped"}, status=410)
+        era = self._store.era
 
         def has_changed() -> bool:
-            return self._store.revision > after
+            return self._store.revision > after or self._store.era != era
 
         try:
             async with asyncio.timeout(wait_seconds), self._store.changed:
@@ -139,6 +160,8 @@
             pass
         if (fault := await self._meet_faults()) is not None:
             return fault
+        if self._store.era != era:
+            return web.json_response({"error": "restored"}, status=503)
         events = [c.render() for c in self._store.history if c.revision > after]
         return web.json_response(
             {"events": events, "store_revision": self._store.revision}
@@ -166,6 +189,21 @@
         self._store.forget()
         return web.Response()
 
+    async def copy(self, request: web.Request) -> web.Response:
+        """Keeps a copy."""
+        self._store.copy()
+        return web.Response()
+
+    async def restore(self, request: web.Request) -> web.Response:
+        """Returns to the copy."""
+        await self._store.restore()
+        return web.Response()
+
+    async def _add_era(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        response.headers["Store-Era"] = str(self._store.era)
+
     async def count_calls(self, request: web.Request) -> web.Response:
         """Returns the number of reading calls."""
         return web.json_response({"calls": self._calls})
