Order records by the era of the store, so that a restored one is followed

Cause: the copy of the records took the store's revision for a number that only grows. It is one only within an era: a restored store gives revisions out again, so every record of it counted as old, in caches, in heartbeats and between peers. Class: a version is compared across histories that it does not order.

Calls that always end in a lost history back off. The copy itself is older than what is in force: entries of upstreams older than the known ones are deferred for 5 s, and a zone whose withdrawal from service the copy lacks returns after 2 s, unless newer records arrive; configurations of a lower version were ignored before.

Why it works: one order over all histories, made where the store's answers are decoded, so no later comparison can miss it.

--- a/egrethall/entry/_peer_links.py
+++ b/egrethall/entry/_peer_links.py
@@ -23,7 +23,7 @@
     SourceStatus,
     is_reader,
 )
-from egrethall.types import Clock, Record, RecordSourceError
+from egrethall.types import Clock, Record, RecordSourceError, describe_revision
 
 #: How long an instance that reads the store waits for its own watch before it reads new
 #: records from a peer.
@@ -191,8 +191,8 @@
             logger.info(
                 "records read from peer",
                 peer=source.name,
-                revision=batch.revision,
-                before=self._record_cache.revision,
+                revision=describe_revision(batch.revision),
+                before=describe_revision(self._record_cache.revision),
                 records=len(batch.records),
             )
             self._record_cache.apply(batch)
--- a/egrethall/entry/_published_state.py
+++ b/egrethall/entry/_published_state.py
@@ -4,7 +4,12 @@
 
 import structlog
 
-from egrethall.placement import REPUBLISH_GRACE_SECONDS, HostRoutes, UpstreamTable
+from egrethall.placement import (
+    OUTDATED_ENTRY_DELAY_SECONDS,
+    REPUBLISH_GRACE_SECONDS,
+    HostRoutes,
+    UpstreamTable,
+)
 from egrethall.records import SourceStatus
 from egrethall.types import (
     ConfigurationPublished,
@@ -16,6 +21,8 @@
     UpstreamPublished,
     UpstreamWithdrawn,
     ZoneServiceChanged,
+    describe_revision,
+    split_revision,
 )
 
 #: Decodes a record; returns None if it has no effect on the instance. Raises
@@ -57,6 +64,8 @@
         entry removes that upstream.
         """
         for record in records:
+            era, _ = split_revision(record.revision)
+            self._source_status.observe_era(era)
             try:
                 change = self._decode(record)
             except UnusableRecordError as error:
@@ -66,13 +75,23 @@
                 self._apply_change(change, record.revision)
 
     def _apply_change(self, change: PublishedChange, revision: int) -> None:
+        since_restore_seconds = self._source_status.measure_seconds_since_restore()
         match change:
             case ConfigurationPublished(configuration):
                 self._set_configuration(configuration, revision)
             case ZoneServiceChanged(zone, out_of_service):
-                self._upstream_table.set_zone_out_of_service(zone, out_of_service)
+                # Operators' commands that the copy lacks are published again.
+                self._upstream_table.set_zone_out_of_service(
+                    zone,
+                    out_of_service,
+                    may_be_republished=since_restore_seconds < REPUBLISH_GRACE_SECONDS,
+                )
             case UpstreamPublished(entry):
-                self._upstream_table.set_entry(entry)
+                self._upstream_table.set_entry(
+                    entry,
+                    may_be_outdated=since_restore_seconds
+                    < OUTDATED_ENTRY_DELAY_SECONDS,
+                )
             case UpstreamWithdrawn(name):
                 since_outage_seconds = (
                     self._source_status.measure_seconds_since_outage()
@@ -93,7 +112,7 @@
                 "older configuration ignored",
                 version=configuration.version,
                 in_force=current_version,
-                revision=revision,
+                revision=describe_revision(revision),
             )
             return
         self.routes = HostRoutes(configuration)
@@ -103,7 +122,7 @@
             "configuration in force",
             version=configuration.version,
             before=current_version,
-            revision=revision,
+            revision=describe_revision(revision),
             routes=len(configuration.routes),
             organisations=len(configuration.organisations),
         )
@@ -112,7 +131,7 @@
         logger.warning(
             "published record not usable",
             key=record.key,
-            revision=record.revision,
+            revision=describe_revision(record.revision),
             reason=str(error),
         )
         if error.upstream:
--- a/egrethall/placement/__init__.py
+++ b/egrethall/placement/__init__.py
@@ -15,7 +15,11 @@
     RateLimitShares,
 )
 from egrethall.placement._routes import HostRoutes, choose_service
-from egrethall.placement._table import REPUBLISH_GRACE_SECONDS, UpstreamTable
+from egrethall.placement._table import (
+    OUTDATED_ENTRY_DELAY_SECONDS,
+    REPUBLISH_GRACE_SECONDS,
+    UpstreamTable,
+)
 from egrethall.placement._upstream_state import UpstreamState
 
 __all__ = [
@@ -24,6 +28,7 @@
     "CrashGuard",
     "HedgePolicy",
     "HostRoutes",
+    "OUTDATED_ENTRY_DELAY_SECONDS",
     "PeerDirectory",
     "PeerInstance",
     "REPUBLISH_GRACE_SECONDS",
--- a/egrethall/placement/_table.py
+++ b/egrethall/placement/_table.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
+
 import structlog
 
 from egrethall.placement._upstream_state import UpstreamState
@@ -11,6 +13,14 @@
 #: upstream still runs. It is published again within this time after the outage.
 REPUBLISH_GRACE_SECONDS = 2.0
 
+#: Time after the record source was restored from a copy in which an outdated entry is
+#: not used yet. Upstreams that run publish a newer one in this time, and the entries of
+#: those that have left expire, after three heartbeats of 1.5 s.
+OUTDATED_ENTRY_DELAY_SECONDS = 5.0
+
+#: Removed upstreams whose last entry is remembered.
+MAX_REMOVED_ENTRIES = 4096
+
 logger = structlog.get_logger(__name__)
 
 
@@ -29,10 +39,39 @@
         self._zones_out_of_service: set[str] = set()
         #: Time at which each entry that may be republished is removed.
         self._removal_at_seconds: dict[str, float] = {}
-
-    def set_entry(self, entry: UpstreamEntry) -> None:
-        """Adds an upstream or updates its entry."""
+        #: Likewise, time at which each availability zone is put back into service.
+        self._zone_return_at_seconds: dict[str, float] = {}
+        #: Last entries of removed upstreams, the oldest removal first.
+        self._removed_entries: OrderedDict[str, UpstreamEntry] = OrderedDict()
+        #: Outdated entries, and the time from which they are used.
+        self._outdated_entries: dict[str, tuple[UpstreamEntry, float]] = {}
+
+    def set_entry(self, entry: UpstreamEntry, *, may_be_outdated: bool = False) -> None:
+        """Adds an upstream or updates its entry.
+
+        :param may_be_outdated: True shortly after the record source was restored from a
+            copy. An entry older than the known one, or not newer than that of a removed
+            upstream, is then used only after :data:`OUTDATED_ENTRY_DELAY_SECONDS`.
+        """
         self._removal_at_seconds.pop(entry.name, None)
+        if may_be_outdated and self._is_outdated(entry):
+            now_seconds = self._clock.monotonic_seconds()
+            accept_at_seconds = now_seconds + OUTDATED_ENTRY_DELAY_SECONDS
+            self._outdated_entries[entry.name] = entry, accept_at_seconds
+            logger.info("outdated upstream entry deferred", upstream=entry.name)
+            return
+        self._accept_entry(entry)
+
+    def _is_outdated(self, entry: UpstreamEntry) -> bool:
+        known = self._states.get(entry.name)
+        if known is not None:
+            return entry.age_key < known.entry.age_key
+        removed = self._removed_entries.get(entry.name)
+        return removed is not None and entry.age_key <= removed.age_key
+
+    def _accept_entry(self, entry: UpstreamEntry) -> None:
+        self._outdated_entries.pop(entry.name, None)
+        self._removed_entries.pop(entry.name, None)
         known = self._states.get(entry.name)
         if known is not None and _is_same_run(known.entry, entry):
             if entry.draining and not known.entry.draining:
@@ -60,6 +99,7 @@
             The upstream then stays for :data:`REPUBLISH_GRACE_SECONDS`, within which it
             publishes its entry again if it still runs.
         """
+        self._outdated_entries.pop(name, None)
         if name not in self._states:
             return
         if may_be_republished:
@@ -71,10 +111,22 @@
         self._remove(name)
         logger.info("upstream removed", upstream=name)
 
-    def set_zone_out_of_service(self, zone: str, out_of_service: bool) -> None:
-        """Takes an availability zone out of service or puts it back."""
+    def set_zone_out_of_service(
+        self, zone: str, out_of_service: bool, *, may_be_republished: bool = False
+    ) -> None:
+        """Takes an availability zone out of service or puts it back.
+
+        :param may_be_republished: True shortly after the record source was restored.
+            The zone is then put back only if that is not revoked within
+            :data:`REPUBLISH_GRACE_SECONDS`.
+        """
+        self._zone_return_at_seconds.pop(zone, None)
         if out_of_service == (zone in self._zones_out_of_service):
             return
+        if may_be_republished and not out_of_service:
+            now_seconds = self._clock.monotonic_seconds()
+            self._zone_return_at_seconds[zone] = now_seconds + REPUBLISH_GRACE_SECONDS
+            return
         if out_of_service:
             self._zones_out_of_service.add(zone)
         else:
@@ -89,7 +141,7 @@
 
     def find_usable(self, service: str) -> list[UpstreamState]:
         """Returns the upstreams of ``service`` that may receive new requests."""
-        self._remove_lapsed()
+        self._apply_due_changes()
         return [
             state
             for state in self._by_service.get(service, {}).values()
@@ -151,18 +203,28 @@
     def _remove(self, name: str) -> None:
         state = self._states.pop(name)
         del self._by_service[state.entry.service][name]
+        self._removed_entries[name] = state.entry
+        while len(self._removed_entries) > MAX_REMOVED_ENTRIES:
+            self._removed_entries.popitem(last=False)
 
-    def _remove_lapsed(self) -> None:
-        if not self._removal_at_seconds:
-            return
+    def _apply_due_changes(self) -> None:
         now_seconds = self._clock.monotonic_seconds()
-        for name, removal_at_seconds in tuple(self._removal_at_seconds.items()):
-            if now_seconds < removal_at_seconds:
-                continue
+        for name in _find_due(self._removal_at_seconds, now_seconds):
             del self._removal_at_seconds[name]
             if name in self._states:
                 self._remove(name)
                 logger.info("upstream removed", upstream=name, reason="lapsed")
+        for zone in _find_due(self._zone_return_at_seconds, now_seconds):
+            self.set_zone_out_of_service(zone, False)
+        for entry, accept_at_seconds in tuple(self._outdated_entries.values()):
+            if now_seconds >= accept_at_seconds:
+                self._accept_entry(entry)
+
+
+def _find_due(due_at_seconds: dict[str, float], now_seconds: float) -> list[str]:
+    if not due_at_seconds:
+        return []
+    return [name for name, at in due_at_seconds.items() if now_seconds >= at]
 
 
 def _is_same_run(known: UpstreamEntry, entry: UpstreamEntry) -> bool:
--- a/egrethall/placement/tests/steps/upstream_steps.py
+++ b/egrethall/placement/tests/steps/upstream_steps.py
@@ -37,7 +37,7 @@
     def apply_event(self, event):
         match event.split():
             case ["upstream", name, "drains"]:
-                self.update_entry(name, draining=True)
+                self.update_entry(name, draining=True, sequence=3)
             case ["upstream", name, "is", "removed"]:
                 self.table.remove_entry(name, may_be_republished=False)
             case ["zone", zone, *rest]:
@@ -55,6 +55,20 @@
                 self.clock.advance(1.0)
                 self.table.set_entry(entry)
                 self.clock.advance(5.0)
+            case ["upstream", name, "restarts"]:
+                self.update_entry(name, started_at_ms=2)
+            case ["upstream", name, "is", "written", "anew"]:
+                entry = replace(self.make_entry(name, "east"), sequence=9)
+                self.table.set_entry(entry, may_be_outdated=True)
+            case ["upstream", name, "is", "removed", "again"]:
+                self.table.remove_entry(name, may_be_republished=True)
+
+    def restore_copy(self, entries):
+        for entry in entries:
+            self.table.set_entry(entry, may_be_outdated=True)
+        self.table.set_zone_out_of_service(
+            "east", out_of_service=False, may_be_republished=True
+        )
 
     def list_usable_names(self):
         return sorted(state.name for state in self.table.find_usable("reads"))
@@ -89,6 +103,37 @@
     context.subject = TableSubject(zones)
 
 
+@when("{change}, and the source is restored from a copy without it")
+def step_impl(context, change):
+    subject = context.subject
+    copied = [state.entry for state in subject.table.find_usable("reads")]
+    subject.apply_event(change)
+    subject.restore_copy(copied)
+
+
+@when("upstream a is removed and restored, and {event} 1 s later")
+def step_impl(context, event):
+    subject = context.subject
+    entry = subject.table.find_state("a").entry
+    subject.apply_event("upstream a is removed")
+    subject.table.set_entry(entry, may_be_outdated=True)
+    subject.clock.advance(1.0)
+    subject.apply_event(event)
+
+
+@then("the usable upstreams are {first}, and 2.1 s later {later}")
+def step_impl(context, first, later):
+    assert context.subject.list_usable_names() == first.split()
+    context.subject.clock.advance(2.1)
+    assert context.subject.list_usable_names() == later.split()
+
+
+@then("the usable upstreams 5.1 s later are {names}")
+def step_impl(context, names):
+    context.subject.clock.advance(5.1)
+    assert context.subject.list_usable_names() == names.split()
+
+
 @when("upstream a fails 3 times and restarts")
 def step_impl(context):
     context.subject.fail("a", 3)
--- a/egrethall/placement/tests/upstreams.feature
+++ b/egrethall/placement/tests/upstreams.feature
@@ -19,6 +19,31 @@
       | upstream a lapses for 2.1 s              | b c    |
       | upstream a lapses and is published again | a b c  |
 
+  Scenario Outline: A restored record source brings back what had changed since its copy
+    Given upstreams a and b in availability zone east and c in west
+    When <change>, and the source is restored from a copy without it
+    Then the usable upstreams are <first>, and 2.1 s later <later>
+    And the usable upstreams 5.1 s later are <last>
+
+    Examples:
+      | change                      | first | later | last  |
+      | upstream a drains           | b c   | b c   | a b c |
+      | upstream a is removed       | b c   | b c   | a b c |
+      | upstream a restarts         | a b c | a b c | a b c |
+      | zone east is out of service | c     | a b c | a b c |
+
+  Scenario Outline: A restored entry of a removed upstream hides what it publishes later
+    Given upstreams a and b in availability zone east and c in west
+    When upstream a is removed and restored, and <event> 1 s later
+    Then the usable upstreams are <first>, and 2.1 s later <later>
+    And the usable upstreams 5.1 s later are <last>
+
+    Examples:
+      | event                          | first | later | last  |
+      | nothing happens                | b c   | b c   | a b c |
+      | upstream a is written anew     | a b c | a b c | a b c |
+      | upstream a is removed again    | b c   | b c   | b c   |
+
   Scenario: A new run of an upstream starts without the failures of the previous run
     Given upstreams a and b in availability zone east and c in west
     When upstream a fails 3 times and restarts
--- a/egrethall/platform/_documents.py
+++ b/egrethall/platform/_documents.py
@@ -194,6 +194,7 @@
         draining=_DRAINING_BY_STATE[state],
         cold_seconds=root.read_seconds("warmup_left", "0ms"),
         started_at_ms=root.read_count("born", 0),
+        sequence=root.read_count("sequence", 0),
     )
 
 
--- a/egrethall/platform/_store.py
+++ b/egrethall/platform/_store.py
@@ -20,6 +20,8 @@
     Record,
     RecordBatch,
     RecordSourceError,
+    make_revision,
+    split_revision,
 )
 
 #: Time for which the store holds a watch request open while nothing changes. TCP
@@ -54,34 +56,43 @@
         records: list[Record] = []
         revision: int | None = None
         after = ""
-        era = 0
+        era: int | None = None
         for _ in range(MAX_PAGES):
-            page, era = await self._request_json(
+            page, page_era = await self._request_json(
                 f"/kv-range?prefix=&after={quote(after, safe='')}",
                 RESPONSE_TIMEOUT_SECONDS,
             )
+            if era not in (None, page_era):
+                raise RecordSourceError(
+                    f"{self._address}: the store was restored while it was read"
+                )
+            era = page_era
             # The pages are not one snapshot. With the revision of the first page, the
             # next watch reports what changed while the others were read.
-            revision = _read_revision(page) if revision is None else revision
-            items = [_decode_record(item) for item in _read_list(page, "items")]
+            revision = _read_revision(page, era) if revision is None else revision
+            items = [_decode_record(item, era) for item in _read_list(page, "items")]
             records.extend(items)
             if not page.get("truncated") or not items:
-                return RecordBatch(revision, tuple(records), whole=True, era=era)
+                return RecordBatch(revision, tuple(records), whole=True)
             after = items[-1].key
         raise RecordSourceError(f"{self._address}: more than {MAX_PAGES} pages")
 
     async def wait_for_changes(self, after_revision: int) -> RecordBatch:
         """Returns the changes after a revision; waits for a while if there are none."""
         wait_ms = int(WATCH_WAIT_SECONDS * 1000)
+        known_era, number = split_revision(after_revision)
         response, era = await self._request_json(
-            f"/kv-watch?prefix=&after={after_revision}&wait_ms={wait_ms}",
+            f"/kv-watch?prefix=&after={number}&wait_ms={wait_ms}",
             WATCH_WAIT_SECONDS + RESPONSE_TIMEOUT_SECONDS,
         )
+        if era != known_era:
+            raise HistoryLostError(
+                f"{self._address}: the store was restored, era {known_era} to {era}"
+            )
         events = _read_list(response, "events")
         return RecordBatch(
-            _read_revision(response),
-            tuple(_decode_record(event) for event in events),
-            era=era,
+            _read_revision(response, era),
+            tuple(_decode_record(event, era) for event in events),
         )
 
     async def close(self) -> None:
@@ -134,11 +145,11 @@
         return head.status, head.headers, await self._connection.receive_body()
 
 
-def _read_revision(response: Mapping[str, Any]) -> int:
+def _read_revision(response: Mapping[str, Any], era: int) -> int:
     revision = response.get("store_revision")
     if not isinstance(revision, int):
         raise RecordSourceError("a response of the store has no integer store_revision")
-    return revision
+    return make_revision(era, revision)
 
 
 def _parse_era(headers: Headers) -> int:
@@ -155,12 +166,13 @@
     return value
 
 
-def _decode_record(item: object) -> Record:
+def _decode_record(item: object, era: int) -> Record:
     if not isinstance(item, Mapping):
         raise RecordSourceError("an item of the store is not a JSON object")
     key, revision = item.get("key"), item.get("revision")
     if not isinstance(key, str) or not isinstance(revision, int):
         raise RecordSourceError("an item of the store has no valid key or revision")
+    revision = make_revision(era, revision)
     if item.get("removed"):
         return Record(key, revision, None)
     try:
--- a/egrethall/platform/tests/steps/store_steps.py
+++ b/egrethall/platform/tests/steps/store_steps.py
@@ -5,7 +5,7 @@
 from behave import given, then, when
 
 from egrethall.platform import StoreClient, _store
-from egrethall.types import HistoryLostError, RecordSourceError
+from egrethall.types import HistoryLostError, RecordSourceError, make_revision
 from standins.ports import PortAllocator
 from standins.record_store import RecordStore, StorePort
 from standins.serving import start_application
@@ -36,6 +36,10 @@
         self.next_response = None
         self.port = PortAllocator().allocate()
 
+    @property
+    def revision(self):
+        return make_revision(self.store.era, self.store.revision)
+
     def run(self, scenario):
         async def with_store():
             self.store = RecordStore()
@@ -96,7 +100,7 @@
     batch = context.batch
     assert batch.whole
     assert len({record.key for record in batch.records}) == count
-    assert batch.revision == context.fixture.store.revision
+    assert batch.revision == context.fixture.revision
 
 
 @when("key-9 is written and key-0 is removed during a watch")
@@ -123,21 +127,21 @@
 
 @then("the next watch starts after both changes")
 def step_impl(context):
-    assert context.batches[1].revision == context.fixture.store.revision
+    assert context.batches[1].revision == context.fixture.revision
 
 
 @when("a watch waits for 1 s")
 def step_impl(context):
     _store.WATCH_WAIT_SECONDS = 1.0
     context.batch = context.fixture.run(
-        lambda client: client.wait_for_changes(context.fixture.store.revision)
+        lambda client: client.wait_for_changes(context.fixture.revision)
     )
 
 
 @then("it returns no changes up to the store's revision")
 def step_impl(context):
     assert context.batch.records == ()
-    assert context.batch.revision == context.fixture.store.revision
+    assert context.batch.revision == context.fixture.revision
 
 
 @when("its history is dropped and a watch asks for older changes")
@@ -145,13 +149,39 @@
     async def scenario(client):
         context.fixture.store.forget()
         try:
-            await client.wait_for_changes(100)
+            await client.wait_for_changes(make_revision(1, 100))
         except HistoryLostError as error:
             return error
 
     context.error = context.fixture.run(scenario)
 
 
+@when("it is restored from a copy and revisions pass those of before")
+def step_impl(context):
+    async def scenario(client):
+        store = context.fixture.store
+        store.copy()
+        await store.write("key-7", b"lost")
+        context.before = (await client.read_all()).revision
+        await store.restore()
+        for number in range(5):
+            await store.write(f"new-{number}", b"new")
+        try:
+            await client.wait_for_changes(context.before)
+        except HistoryLostError as error:
+            context.error = error
+        return await client.read_all()
+
+    context.batch = context.fixture.run(scenario)
+
+
+@then("a read returns {count:d} records at a higher revision than before")
+def step_impl(context, count):
+    assert len(context.batch.records) == count, context.batch
+    assert context.batch.revision > context.before
+    assert all(record.revision > context.before for record in context.batch.records)
+
+
 @then("the watch reports that the history is lost")
 def step_impl(context):
     assert context.error is not None
--- a/egrethall/platform/tests/store.feature
+++ b/egrethall/platform/tests/store.feature
@@ -23,6 +23,12 @@
     When its history is dropped and a watch asks for older changes
     Then the watch reports that the history is lost
 
+  Scenario: Revisions given out again after a restore count as old
+    Given a store with 2 records
+    When it is restored from a copy and revisions pass those of before
+    Then the watch reports that the history is lost
+    And a read returns 7 records at a higher revision than before
+
   Scenario Outline: An invalid response fails the read and the next read succeeds
     Given a store with 2 records
     When it responds to a read with <response>
--- a/egrethall/records/_follower.py
+++ b/egrethall/records/_follower.py
@@ -14,6 +14,7 @@
     RecordBatch,
     RecordSource,
     RecordSourceError,
+    describe_revision,
 )
 
 #: Pause after a watch call, so that the next one returns several changes at once. Each
@@ -44,6 +45,9 @@
         self._clock = clock
         self._available = True
         self._recovered_at_seconds = float("-inf")
+        self._restored_at_seconds = float("-inf")
+        #: None before the first records.
+        self._era: int | None = None
         #: Calls to the source by outcome.
         self.calls: Counter[str] = Counter()
 
@@ -58,6 +62,19 @@
             return 0.0
         return self._clock.monotonic_seconds() - self._recovered_at_seconds
 
+    def measure_seconds_since_restore(self) -> float:
+        """Returns the seconds since the source was restored; infinite if never."""
+        return self._clock.monotonic_seconds() - self._restored_at_seconds
+
+    def observe_era(self, era: int) -> None:
+        """Records the era of received records; a higher one ends an outage."""
+        known, self._era = self._era, era if self._era is None else max(era, self._era)
+        if known is None or era <= known:
+            return
+        now_seconds = self._clock.monotonic_seconds()
+        self._restored_at_seconds = self._recovered_at_seconds = now_seconds
+        logger.warning("record source was restored from a copy", era=era, before=known)
+
     def observe_peer_recovery(self, since_seconds: float) -> None:
         """Records how long ago an outage ended, as reported by another instance."""
         at_seconds = self._clock.monotonic_seconds() - since_seconds
@@ -74,7 +91,7 @@
             return
         self._available = True
         self._recovered_at_seconds = self._clock.monotonic_seconds()
-        logger.info("record source answers again", revision=revision)
+        logger.info("record source answers again", revision=describe_revision(revision))
 
     def observe_history_loss(self) -> None:
         """Records a call for changes that the source no longer knows."""
@@ -129,21 +146,23 @@
                 await self._reading_resumed.wait()
             try:
                 await self._read_once(needs_snapshot or not self._cache.revision)
-                needs_snapshot = False
             except HistoryLostError as error:
                 self._status.observe_history_loss()
                 logger.warning("record history lost; reading all", error=str(error))
                 needs_snapshot = True
-                await self._sleep(MIN_BACK_OFF_SECONDS * self._random.random())
-                continue
             except RecordSourceError as error:
                 self._status.observe_failure(error)
-                await self._sleep(back_off_seconds * (0.5 + self._random.random() / 2))
-                back_off_seconds = min(
-                    back_off_seconds * BACK_OFF_FACTOR, MAX_BACK_OFF_SECONDS
-                )
+            else:
+                # A snapshot alone does not reset the back-off: the watch after it may
+                # fail again.
+                if not needs_snapshot:
+                    back_off_seconds = MIN_BACK_OFF_SECONDS
+                needs_snapshot = False
                 continue
-            back_off_seconds = MIN_BACK_OFF_SECONDS
+            await self._sleep(back_off_seconds * (0.5 + self._random.random() / 2))
+            back_off_seconds = min(
+                back_off_seconds * BACK_OFF_FACTOR, MAX_BACK_OFF_SECONDS
+            )
 
     @property
     def is_reading(self) -> bool:
@@ -177,7 +196,10 @@
         if self._lagging_since_seconds is None:
             self._lagging_since_seconds = now_seconds
         if now_seconds - self._lagging_since_seconds > MAX_LAG_SECONDS:
-            logger.warning("watch lags behind peers; restarting", revision=revision)
+            logger.warning(
+                "watch lags behind peers; restarting",
+                revision=describe_revision(revision),
+            )
             self._lagging_since_seconds = None
             self._watch_scope.cancel()
 
@@ -203,9 +225,8 @@
             logger.info(
                 "records read",
                 snapshot=batch.whole,
-                era=batch.era,
-                revision=batch.revision,
-                before=before,
+                revision=describe_revision(batch.revision),
+                before=describe_revision(before),
                 records=len(batch.records),
                 ignored=ignored,
             )
--- a/egrethall/records/tests/follower.feature
+++ b/egrethall/records/tests/follower.feature
@@ -23,3 +23,8 @@
     And another instance reports revision 7 for 2 s
     Then the calls were all after:5 after:5 after:7
     And the cache is complete up to revision 7
+
+  Scenario: A source whose history is always lost is called without a pause
+    When the source responds with all:5 lost all:5 lost all:5 lost all:5 lost all:5 lost all:5 changes:7
+    Then the pauses after the errors grew from at least 0.05 to at most 0.8 s
+    And the cache is complete up to revision 7
--- a/egrethall/types/__init__.py
+++ b/egrethall/types/__init__.py
@@ -46,6 +46,9 @@
     RecordBatch,
     RecordSource,
     RecordSourceError,
+    describe_revision,
+    make_revision,
+    split_revision,
 )
 from egrethall.types._refusals import (
     Refusal,
@@ -200,6 +203,9 @@
     )
 
 __all__ = [
+    "describe_revision",
+    "make_revision",
+    "split_revision",
     "AllowanceGate",
     "AllowanceToken",
     "AttemptOutcome",
--- a/egrethall/types/_published.py
+++ b/egrethall/types/_published.py
@@ -126,6 +126,13 @@
     cold_seconds: float
     #: Unix milliseconds of its start; 0 if unknown.
     started_at_ms: int = 0
+    #: Increases with each entry that the run publishes.
+    sequence: int = 0
+
+    @property
+    def age_key(self) -> tuple[int, int]:
+        """Orders the entries of one upstream by the time at which it wrote them."""
+        return self.started_at_ms, self.sequence
 
 
 @dataclass(frozen=True)
--- a/egrethall/types/_records.py
+++ b/egrethall/types/_records.py
@@ -5,6 +5,33 @@
 
 from egrethall.types._errors import EgrethallError
 
+#: Low bits of a revision that hold the store's own revision; the era is above them.
+_REVISION_BITS = 48
+
+
+def make_revision(era: int, number: int) -> int:
+    """Returns a revision that is higher than all those of earlier eras.
+
+    A store that is restored from an older copy begins a new era, in which it gives the
+    same numbers out again. Epoch and counter are combined as in the transaction IDs of
+    ZooKeeper (Junqueira, Reed and Serafini 2011, section 3).
+
+    :param era: number of times that the store was restored.
+    :param number: the store's own revision.
+    """
+    return era << _REVISION_BITS | number
+
+
+def split_revision(revision: int) -> tuple[int, int]:
+    """Returns the era of a revision and the store's own revision in it."""
+    return revision >> _REVISION_BITS, revision & ((1 << _REVISION_BITS) - 1)
+
+
+def describe_revision(revision: int) -> str:
+    """Returns a revision for a log line: its era, a dot, and its number."""
+    era, number = split_revision(revision)
+    return f"{era}.{number}"
+
 
 class RecordSourceError(EgrethallError):
     """The source of records gave no usable answer."""
@@ -19,7 +46,7 @@
     """The newest state of one key."""
 
     key: str
-    #: Revision of the store at its last change.
+    #: Revision of the store at its last change; see :func:`make_revision`.
     revision: int
     #: None if the key was removed.
     value: bytes | None
@@ -33,8 +60,6 @@
     records: tuple[Record, ...]
     #: True if keys that are not among the records do not exist.
     whole: bool = False
-    #: Number of times that the store was restored from a copy; 0 if it does not say.
-    era: int = 0
 
 
 class RecordSource(Protocol):
