Bound what is read of a response that does not end

Callers and instances: a faulty upstream may send bytes without end, in a head or a body, until the connection is closed. The instance collected the body of a refusal or of a probe's response whatever its length, skipped informational responses and responses to other requests without a limit, and passed a body on for as long as its caller read, so that the process could exceed its memory.

Cause: heads had a limit (64 KiB), collected and skipped bytes and informational responses had none, and a streamed body had no deadline.

Change: at most 1 MiB is collected or skipped (32 MiB of the store's responses), at most 8 informational responses are skipped, and a streamed body ends at the request's deadline as a broken one. An error response that is not passed on is closed.

--- a/egrethall/entry/_sender.py
+++ b/egrethall/entry/_sender.py
@@ -93,8 +93,9 @@
             if outcome.result is SendResult.ANSWERED and outcome.response is not None:
                 if history.fingerprint is not None:
                     self._crashes.observe_success(history.fingerprint)
+                await _close(history.error_response)
                 return outcome.response
-            self._record_failures(request, history, race.outcomes)
+            await self._record_failures(request, history, race.outcomes)
             no_retry_reason = self._take_retry(request, history, outcome)
             if no_retry_reason:
                 request.record.detail = f"Not sent again: {no_retry_reason}."
@@ -128,7 +129,7 @@
             )
         return fingerprint
 
-    def _record_failures(
+    async def _record_failures(
         self,
         request: AdmittedRequest,
         history: _AttemptHistory,
@@ -141,7 +142,9 @@
                 history.not_run += 1
                 continue
             history.possible_runs += 1
-            history.error_response = outcome.response or history.error_response
+            if outcome.response is not None:
+                await _close(history.error_response)
+                history.error_response = outcome.response
             if outcome.result is SendResult.BROKEN:
                 history.fingerprint = request.make_fingerprint(self._crashes)
                 self._crashes.observe_crash(history.fingerprint, outcome.upstream)
@@ -217,6 +220,12 @@
         raise _make_unknown_outcome_refusal(f"Its answer was lost. {detail}")
 
 
+async def _close(response: Response | None) -> None:
+    """Closes the connection of a response that is not passed on."""
+    if response is not None and response.close is not None:
+        await response.close()
+
+
 def _make_unknown_outcome_refusal(detail: str) -> RefusedError:
     return RefusedError(
         Refusal(
--- a/egrethall/entry/_upstream_exchange.py
+++ b/egrethall/entry/_upstream_exchange.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator
 
 import anyio
+import structlog
 
 from egrethall.entry._connection_pool import ConnectionPool
 from egrethall.entry._prober import ProbeResult
@@ -28,6 +29,8 @@
 
 MIN_SERVER_ERROR_STATUS = 500
 
+logger = structlog.get_logger(__name__)
+
 
 class UntrustedResponseError(Exception):
     """A response is not proven to come from the upstream and for the request."""
@@ -113,7 +116,11 @@
             if head.request_id in ("", request.head.request_id):
                 state.observe_rate_limit(head.rate_limit_per_second, "response")
                 return await self._receive_response(
-                    connection, state.name, received, head
+                    connection,
+                    state.name,
+                    received,
+                    head,
+                    request.deadline_at_seconds,
                 )
             await connection.skip_response()
         raise UntrustedResponseError("responses to other requests")
@@ -140,6 +147,7 @@
         upstream: str,
         received: ResponseHead,
         head: UpstreamHead,
+        deadline_at_seconds: float,
     ) -> SendOutcome:
         if head.not_run:
             await connection.receive_body()
@@ -159,7 +167,9 @@
                 head.status,
                 head.headers,
                 body,
-                remaining_body=_iterate_remaining_body(connection),
+                remaining_body=self._iterate_remaining_body(
+                    connection, deadline_at_seconds
+                ),
                 content_length=_parse_content_length(received.headers),
                 close=connection.close,
             )
@@ -171,6 +181,22 @@
             SendResult.ANSWERED, f"status {head.status}", upstream, response
         )
 
+    async def _iterate_remaining_body(
+        self, connection: ClientConnection, deadline_at_seconds: float
+    ) -> AsyncIterator[bytes]:
+        """Yields the rest of a body; raises :class:`ConnectionLostError` if it is late.
+
+        A faulty upstream may send bytes without end, which a caller that no longer
+        waits for its response may go on reading.
+        """
+        while piece := await connection.receive_body_chunk():
+            yield piece
+            if self._clock.monotonic_seconds() > deadline_at_seconds:
+                logger.info("response cut at its deadline", address=connection.address)
+                raise ConnectionLostError(
+                    f"{connection.address}: the body did not end before the deadline"
+                )
+
 
 async def _read_buffered_body(connection: ClientConnection) -> tuple[bytes, bool]:
     """Reads the body until it ends or reaches :data:`MAX_BUFFERED_BYTES`.
@@ -188,11 +214,6 @@
     return b"".join(pieces), False
 
 
-async def _iterate_remaining_body(connection: ClientConnection) -> AsyncIterator[bytes]:
-    while piece := await connection.receive_body_chunk():
-        yield piece
-
-
 def _parse_content_length(headers: Headers) -> int | None:
     for name, value in headers:
         if name == b"content-length" and value.isdigit():
--- a/egrethall/entry/tests/entry_callers.py
+++ b/egrethall/entry/tests/entry_callers.py
@@ -77,7 +77,8 @@
                 method, url, headers=headers, timeout=CALL_TIMEOUT_SECONDS
             )
         except httpx.HTTPError as error:
-            return Reply(attempt, 0, repr(error))
+            elapsed_seconds = time.monotonic() - started_at_seconds
+            return Reply(attempt, 0, repr(error), elapsed_seconds=elapsed_seconds)
         return Reply(
             attempt,
             response.status_code,
--- a/egrethall/entry/tests/requests.feature
+++ b/egrethall/entry/tests/requests.feature
@@ -58,6 +58,15 @@
       | error    | read  | 19       |
       | shed     | read  | 20       |
       | shed     | trade | 20       |
+      | endless-head    | read | 19   |
+      | endless-error   | read | 19   |
+      | endless-refusal | read | 19   |
+
+  Scenario: A body without end is passed on after the deadline
+    Given every upstream is in mode endless-body
+    When a request to /read/1 with key cuka-key is sent with a deadline of 1000 ms
+    Then its response breaks off after 0.8 to 1.8 s
+    And no instance holds more than 200 MB
 
   Scenario: An unexpected second response is not passed to another caller
     Given every upstream is in mode extra
--- a/egrethall/entry/tests/steps/request_steps.py
+++ b/egrethall/entry/tests/steps/request_steps.py
@@ -201,6 +201,19 @@
             assert low <= float(reply.headers["retry-after"]) <= high, reply
 
 
+@then("its response breaks off after {low:f} to {high:f} s")
+def step_impl(context, low, high):
+    assert context.reply.status == 0, context.reply.status
+    assert low <= context.reply.elapsed_seconds <= high, context.reply.elapsed_seconds
+
+
+@then("no instance holds more than {megabytes:d} MB")
+def step_impl(context, megabytes):
+    for entry in context.fleet.entry_names:
+        peak_kilobytes = context.fleet.read_peak_memory_kilobytes(entry)
+        assert peak_kilobytes <= megabytes * 1000, (entry, peak_kilobytes)
+
+
 @then("the upstream cancels the request within {seconds:f} s")
 def step_impl(context, seconds):
     def is_cancelled():
--- a/egrethall/http1/_client.py
+++ b/egrethall/http1/_client.py
@@ -18,6 +18,13 @@
 #: Largest incomplete response head that is buffered.
 MAX_RESPONSE_HEAD_BYTES = 64 * 1024
 
+#: Informational responses that are skipped before a final one. Servers send one or two.
+MAX_INFORMATIONAL_RESPONSES = 8
+
+#: Largest body that is collected or skipped. A faulty server may send bytes without
+#: end; responses that may be larger are read in chunks.
+MAX_COLLECTED_BYTES = 1024 * 1024
+
 
 @dataclass(frozen=True)
 class ResponseHead:
@@ -75,12 +82,13 @@
 
     async def receive_head(self) -> ResponseHead:
         """Returns the head of the next final response; skips informational ones."""
-        while True:
+        for _ in range(MAX_INFORMATIONAL_RESPONSES + 1):
             event = await self._receive_event()
             if isinstance(event, h11.Response):
                 return ResponseHead(event.status_code, tuple(event.headers))
             if not isinstance(event, h11.InformationalResponse):
                 raise self._mark_unusable("no response head was received")
+        raise self._mark_unusable("too many informational responses")
 
     async def receive_body_chunk(self) -> bytes:
         """Returns the next part of the body, or empty bytes at its end."""
@@ -92,11 +100,15 @@
         self._finish_exchange()
         return b""
 
-    async def receive_body(self) -> bytes:
-        """Returns the whole body."""
+    async def receive_body(self, max_bytes: int = MAX_COLLECTED_BYTES) -> bytes:
+        """Returns the whole body, of at most ``max_bytes``."""
         parts: list[bytes] = []
+        size_bytes = 0
         while part := await self.receive_body_chunk():
             parts.append(part)
+            size_bytes += len(part)
+            if size_bytes > max_bytes:
+                raise self._mark_unusable(f"the body exceeds {max_bytes} bytes")
         return b"".join(parts)
 
     async def skip_response(self) -> None:
@@ -107,7 +119,11 @@
         the current request and receives the bytes that were already read.
         """
         event = await self._receive_event()
+        skipped_bytes = 0
         while isinstance(event, h11.Data):
+            skipped_bytes += len(event.data)
+            if skipped_bytes > MAX_COLLECTED_BYTES:
+                raise self._mark_unusable("a response to another request does not end")
             event = await self._receive_event()
         if not isinstance(event, h11.EndOfMessage) or self._request is None:
             raise self._mark_unusable("the response is incomplete")
--- a/egrethall/http1/tests/client.feature
+++ b/egrethall/http1/tests/client.feature
@@ -1,6 +1,6 @@
 Feature: Responses on a connection to an HTTP server
-  Guards against a response that is matched to the wrong request, and against a truncated
-  response that is accepted as complete.
+  Guards against a response that is matched to the wrong request, a truncated response that
+  is accepted as complete, and one without end that fills the memory.
 
   Scenario Outline: A response is received whole or not at all
     When the server responds with <response> and the connection then <end>
@@ -34,3 +34,20 @@
   Scenario: Connecting to a port without a listener fails
     When the client connects to a port without a listener
     Then connecting fails
+
+  Scenario Outline: Bytes without end are read until the server stops
+    When the server sends <beginning> and then <repeated> without end
+    And the client skips <skipped> responses
+    Then the client receives an error
+    And the server could send at most 12 MiB
+
+    Examples:
+      | beginning                                                | repeated                   | skipped |
+      | HTTP/1.1                                                 | 0                          | 0       |
+      | HTTP/1.1 200 OK\r\nx:                                    | a                          | 0       |
+      | HTTP/1.1 200 OK\r\n                                      | x: a\r\n                   | 0       |
+      | HTTP/1.1 100 Continue\r\n\r\n                            | HTTP/1.1 100 Continue\r\n\r\n | 0   |
+      | HTTP/1.1 200 OK\r\n\r\n                                  | body                       | 0       |
+      | HTTP/1.1 200 OK\r\ncontent-length: 99999999999\r\n\r\n   | body                       | 0       |
+      | HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n    | 4\r\nbody\r\n              | 0       |
+      | HTTP/1.1 200 OK\r\ncontent-length: 99999999999\r\n\r\n   | body                       | 1       |
--- a/egrethall/http1/tests/steps/http1_steps.py
+++ b/egrethall/http1/tests/steps/http1_steps.py
@@ -18,6 +18,11 @@
 
 #: Limit on each exchange over loopback.
 EXCHANGE_TIMEOUT_SECONDS = 5.0
+
+#: Size of one send of a server that never stops, and the amount after which it does.
+BLOCK_BYTES = 64 * 1024
+MAX_SENT_BYTES = 64 * 1024 * 1024
+
 HEADERS = ((b"host", b"upstream"),)
 
 
@@ -45,11 +50,32 @@
         await anyio.aclose_forcefully(stream)
 
 
+class EndlessServer:
+    """Responds to the first request with bytes that repeat until the client closes."""
+
+    def __init__(self, beginning, repeated):
+        self.beginning, self.repeated = beginning, repeated
+        self.sent_bytes = 0
+
+    async def serve(self, stream):
+        await stream.receive()
+        block = self.repeated * (BLOCK_BYTES // len(self.repeated))
+        data = self.beginning + block
+        async with stream:
+            while self.sent_bytes < MAX_SENT_BYTES:
+                try:
+                    await stream.send(data)
+                except anyio.BrokenResourceError:
+                    return
+                self.sent_bytes += len(data)
+                data = block
+
+
 class ClientExchange:
     """Sends a request to a scripted server."""
 
-    def __init__(self, response, end, skip_count=0):
-        self.server = ScriptedServer(response, end)
+    def __init__(self, server, skip_count=0):
+        self.server = server
         self.skip_count = skip_count
 
     def run(self, send_again=False):
@@ -136,14 +162,13 @@
 
 @when("the server responds with {response} and the connection then {end}")
 def step_impl(context, response, end):
-    context.exchange = ClientExchange(decode_bytes(response), end)
+    context.exchange = ClientExchange(ScriptedServer(decode_bytes(response), end))
 
 
 @when("the server responds with {first}, then with {second}")
 def step_impl(context, first, second):
-    context.exchange = ClientExchange(
-        decode_bytes(first) + decode_bytes(second), "stays"
-    )
+    response = decode_bytes(first) + decode_bytes(second)
+    context.exchange = ClientExchange(ScriptedServer(response, "stays"))
 
 
 @when("the client skips one response")
@@ -151,10 +176,27 @@
     context.exchange.skip_count = 1
 
 
+@when("the server sends {beginning} and then {repeated} without end")
+def step_impl(context, beginning, repeated):
+    server = EndlessServer(decode_bytes(beginning), decode_bytes(repeated))
+    context.exchange = ClientExchange(server)
+
+
+@when("the client skips {count:d} responses")
+def step_impl(context, count):
+    context.exchange.skip_count = count
+
+
+@then("the server could send at most {mebibytes:d} MiB")
+def step_impl(context, mebibytes):
+    sent_bytes = context.exchange.server.sent_bytes
+    assert sent_bytes <= mebibytes * 1024 * 1024, sent_bytes
+
+
 @then("the client receives {result}")
 def step_impl(context, result):
     received = context.exchange.run()
-    assert received == result.strip(), received
+    assert received == result.strip(), received[:100]
 
 
 @then("another request on the connection fails")
--- a/egrethall/platform/_store.py
+++ b/egrethall/platform/_store.py
@@ -35,6 +35,9 @@
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 
+#: Limit on one response: a page of 500 items or 1 MB, or the changes of an outage.
+MAX_RESPONSE_BYTES = 32 * 1024 * 1024
+
 #: Limit on the pages of one full read, so that it ends even if the store keeps
 #: repeating pages.
 MAX_PAGES = 200
@@ -142,7 +145,8 @@
         headers = ((b"host", self._address.encode("ascii")),)
         await self._connection.send("GET", target.encode("ascii"), headers)
         head = await self._connection.receive_head()
-        return head.status, head.headers, await self._connection.receive_body()
+        body = await self._connection.receive_body(MAX_RESPONSE_BYTES)
+        return head.status, head.headers, body
 
 
 def _read_revision(response: Mapping[str, Any], era: int) -> int:
--- a/standins/entry_fleet.py
+++ b/standins/entry_fleet.py
@@ -198,6 +198,13 @@
             ]
         return runs
 
+    def read_peak_memory_kilobytes(self, name: str) -> int:
+        """Returns the largest resident memory that a process has had."""
+        pid = self.processes[name].pid
+        status = Path(f"/proc/{pid}/status").read_text()
+        (line,) = (line for line in status.splitlines() if line.startswith("VmHWM"))
+        return int(line.split()[1])
+
     def is_ready(self, name: str) -> bool:
         """Returns whether an entry instance says that it is ready."""
         url = f"http://127.0.0.1:{self.ports[f'ready-{name}']}/ready"
--- a/standins/platform_upstream.py
+++ b/standins/platform_upstream.py
@@ -17,12 +17,18 @@
 
 READ_LIMIT_BYTES = 1024 * 1024
 
+#: Bytes without end are sent in pieces of this size, with pauses.
+ENDLESS_PIECE = b"x" * 64 * 1024
+ENDLESS_PAUSE_SECONDS = 0.002
+
 
 @dataclass(frozen=True)
 class Behaviour:
     """How requests are answered."""
 
-    #: ok, shed, reset, truncate, extra, silent, unsigned, error or garbage.
+    #: ok, shed, reset, truncate, extra, silent, unsigned, error or garbage; also
+    #: endless-head, endless-body, endless-error or endless-refusal, whose bytes do not
+    #: end before the connection does.
     mode: str = "ok"
     work_ms: float = 5.0
     healthy: bool = True
@@ -165,6 +171,8 @@
             return False
         if mode == "silent":
             await asyncio.Event().wait()
+        if mode.startswith("endless"):
+            await _send_without_end(mode, echo, signed, writer)
         if mode == "truncate":
             writer.write(_render(200, signed, body)[:-5])
             await writer.drain()
@@ -185,6 +193,32 @@
         return True
 
 
+async def _send_without_end(
+    mode: str,
+    echo: dict[str, str],
+    signed: dict[str, str],
+    writer: asyncio.StreamWriter,
+) -> None:
+    """Sends until the connection is closed, which raises ConnectionError."""
+    chunked = {"Transfer-Encoding": "chunked"}
+    heads = {
+        "endless-head": b"HTTP/1.1 200 OK\r\nX-Filler: ",
+        "endless-body": _render_head(200, {**signed, **chunked}),
+        "endless-error": _render_head(500, {**signed, **chunked}),
+        "endless-refusal": _render_head(
+            503, {**echo, **chunked, "X-Not-Executed": "1"}
+        ),
+    }
+    writer.write(heads[mode])
+    piece = ENDLESS_PIECE
+    if mode != "endless-head":
+        piece = f"{len(piece):x}\r\n".encode() + piece + b"\r\n"
+    while True:
+        writer.write(piece)
+        await writer.drain()
+        await asyncio.sleep(ENDLESS_PAUSE_SECONDS)
+
+
 async def _work(seconds: float, reader: asyncio.StreamReader) -> bool:
     """Returns False if the caller closed its connection before the work was done."""
     watcher = asyncio.ensure_future(reader.read(1))
@@ -209,9 +243,13 @@
 
 
 def _render(status: int, headers: dict[str, str], body: bytes) -> bytes:
-    lines = [f"HTTP/1.1 {status} Status", f"Content-Length: {len(body)}"]
+    return _render_head(status, {"Content-Length": str(len(body)), **headers}) + body
+
+
+def _render_head(status: int, headers: dict[str, str]) -> bytes:
+    lines = [f"HTTP/1.1 {status} Status"]
     lines += [f"{name}: {value}" for name, value in headers.items()]
-    return "\r\n".join([*lines, "", ""]).encode("latin-1") + body
+    return "\r\n".join([*lines, "", ""]).encode("latin-1")
 
 
 def main(
