Refuse a request if the last upstream goes away while it is placed

Between two looks at the usable upstreams the last one may lapse, and the search for the next room under a rate limit then had nothing to compare (found by reading, not reproduced): the request would have been answered outcome-unknown instead of no-upstream. The exports of types are sorted again.

--- a/egrethall/entry/_placer.py
+++ b/egrethall/entry/_placer.py
@@ -258,9 +258,10 @@
 
     def _find_next_send_seconds(self, request: PlacementRequest) -> float:
         """Returns the clock reading from which some upstream's limit has room."""
+        usable = self._table.find_usable(request.service.name)
         return min(
-            self._limit_shares.find_next_send_seconds(state)
-            for state in self._table.find_usable(request.service.name)
+            map(self._limit_shares.find_next_send_seconds, usable),
+            default=float("-inf"),
         )
 
     def _make_refusal(self, reason: RefusalReason, detail: str) -> RefusedError:
--- a/egrethall/types/__init__.py
+++ b/egrethall/types/__init__.py
@@ -203,9 +203,6 @@
     )
 
 __all__ = [
-    "describe_revision",
-    "make_revision",
-    "split_revision",
     "AllowanceGate",
     "AllowanceToken",
     "AttemptOutcome",
@@ -294,5 +291,8 @@
     "UpstreamTransport",
     "UpstreamWithdrawn",
     "ZoneServiceChanged",
+    "describe_revision",
+    "make_revision",
+    "split_revision",
     "weigh",
 ]
