--- a/egrethall/fleet/tests/members.feature
+++ b/egrethall/fleet/tests/members.feature
@@ -41,6 +41,18 @@
       | 1            | 35      | 3     | 0      |
       | 1 2 3 4      | 35      | 4     | 4      |
 
+  Scenario Outline: An instance whose heartbeats stop still counts as reachable
+    Given 5 instances with 3 seeds of which 0 is stale
+    When heartbeats are exchanged for 3 s
+    And instances 1 are disconnected
+    And heartbeats are exchanged for <seconds> s
+    Then instance 0 can reach <reachable> others
+
+    Examples:
+      | seconds | reachable |
+      | 1       | 4         |
+      | 3       | 3         |
+
   Scenario Outline: A partition of a large fleet makes whole zones silent
     Given 141 instances in 3 zones with 3 seeds
     When heartbeats are exchanged for 20 s
--- a/egrethall/fleet/tests/steps/member_steps.py
+++ b/egrethall/fleet/tests/steps/member_steps.py
@@ -356,3 +356,9 @@
     anyio.run(run)
     answer = CollectorAnswer("entry-2", {"cuka": FleetLevel(7.0, 1.5, 3, 0)})
     assert context.participant.answers[0] == answer, context.participant.answers
+
+
+@then("instance 0 can reach {count:d} others")
+def step_impl(context, count):
+    reachable = context.fleet.members[0].find_reachable()
+    assert len(reachable) == count, reachable
