Fail a read of the store whose era is not usable

Such a response now fails the read, which is logged and repeated. A response without an era is still one of era 0.

--- a/egrethall/platform/_store.py
+++ b/egrethall/platform/_store.py
@@ -46,6 +46,9 @@
 
 _ERA_HEADER = b"store-era"
 
+#: Highest era that is accepted, so that revisions fit into 64 bits.
+MAX_ERA = 32767
+
 
 class StoreClient:
     """Implements :class:`~egrethall.types.RecordSource` with the platform's store."""
@@ -157,9 +160,16 @@
 
 
 def _parse_era(headers: Headers) -> int:
+    """Returns the era that a response states; 0 if it states none."""
     for name, value in headers:
-        if name == _ERA_HEADER and value.isdigit():
-            return int(value)
+        if name != _ERA_HEADER:
+            continue
+        if not value.isdigit() or int(value) > MAX_ERA:
+            raise RecordSourceError(
+                f"a response of the store has Store-Era {value[:20]!r},"
+                f" expected 0 to {MAX_ERA}"
+            )
+        return int(value)
     return 0
 
 
--- a/egrethall/platform/tests/steps/store_steps.py
+++ b/egrethall/platform/tests/steps/store_steps.py
@@ -64,6 +64,10 @@
             return await handler(request)
         if replacement.startswith("status"):
             return web.Response(status=int(replacement.split()[1]))
+        if replacement.startswith("era"):
+            body = b'{"store_revision": 5, "items": [], "truncated": false}'
+            headers = {"Store-Era": replacement.split()[1]}
+            return web.Response(body=body, headers=headers)
         if replacement == "nothing":
             await anyio.sleep(2 * RESPONSE_TIMEOUT_SECONDS)
         if replacement == "an early end":
--- a/egrethall/platform/tests/store.feature
+++ b/egrethall/platform/tests/store.feature
@@ -44,6 +44,9 @@
       | no revision        |
       | no items           |
       | an item without key |
+      | era two             |
+      | era -1              |
+      | era 99999           |
       | an early end       |
       | nothing            |
 
--- a/standins/record_store.py
+++ b/standins/record_store.py
@@ -202,7 +202,7 @@
     async def _add_era(
         self, request: web.Request, response: web.StreamResponse
     ) -> None:
-        response.headers["Store-Era"] = str(self._store.era)
+        response.headers.setdefault("Store-Era", str(self._store.era))
 
     async def count_calls(self, request: web.Request) -> web.Response:
         """Returns the number of reading calls."""
