Match responses of upstreams to requests by their IDs alone

Cause: a response without a request ID counted as the answer to the current request, and its "not run" was believed. On a kept connection it may be an earlier refusal, such as that of the probe before it, written once more: the caller was told that a request had not run that the upstream was running, and the request was sent to a second upstream.

Change: only a response with the ID of the request is its response. Others are skipped and logged; if none follows, the attempt may have run.

A response that ends within its head (cut-head) was already refused.

--- a/egrethall/entry/_upstream_exchange.py
+++ b/egrethall/entry/_upstream_exchange.py
@@ -113,7 +113,9 @@
         for _ in range(MAX_SKIPPED_RESPONSES + 1):
             received = await connection.receive_head()
             head = self._format.decode_upstream_head(received.status, received.headers)
-            if head.request_id in ("", request.head.request_id):
+            # Upstreams echo the ID of the request. A response without one may belong to
+            # the probe before it, so that it proves nothing about this request.
+            if head.request_id == request.head.request_id:
                 state.observe_rate_limit(head.rate_limit_per_second, "response")
                 return await self._receive_response(
                     connection,
@@ -122,7 +124,14 @@
                     head,
                     request.deadline_at_seconds,
                 )
-            await connection.skip_response()
+            logger.info(
+                "response to another request skipped",
+                id=request.head.request_id,
+                upstream=state.name,
+                status=received.status,
+                response_id=head.request_id,
+            )
+            await _skip_response(connection)
         raise UntrustedResponseError("responses to other requests")
 
     def _build_headers(self, request: AdmittedRequest, upstream: str) -> Headers:
@@ -198,6 +207,16 @@
                 )
 
 
+async def _skip_response(connection: ClientConnection) -> None:
+    try:
+        await connection.skip_response()
+    except ConnectionLostError as error:
+        # The upstream is not known to have stopped, unlike after a lost connection.
+        raise UntrustedResponseError(
+            f"no response but to other requests: {error}"
+        ) from error
+
+
 async def _read_buffered_body(connection: ClientConnection) -> tuple[bytes, bool]:
     """Reads the body until it ends or reaches :data:`MAX_BUFFERED_BYTES`.
 
--- a/egrethall/entry/tests/requests.feature
+++ b/egrethall/entry/tests/requests.feature
@@ -36,6 +36,8 @@
       | mode     | path     | status | runs |
       | reset    | /trade/1 | 502    | 1    |
       | truncate | /trade/1 | 502    | 1    |
+      | cut-head | /trade/1 | 502    | 1    |
+      | closing-refusal | /trade/1 | 502 | 1 |
       | garbage  | /trade/1 | 502    | 1    |
       | unsigned | /trade/1 | 502    | 1    |
       | error    | /trade/1 | 500    | 1    |
@@ -53,6 +55,8 @@
       | mode     | kind  | answered |
       | reset    | read  | 19       |
       | truncate | read  | 19       |
+      | cut-head | read  | 19       |
+      | closing-refusal | read | 19   |
       | garbage  | read  | 19       |
       | unsigned | read  | 19       |
       | error    | read  | 19       |
@@ -73,6 +77,17 @@
     When 30 read requests are sent with key cuka-key
     Then each caller received the response to its own request
 
+  Scenario Outline: A refusal of an earlier exchange is not taken for the response
+    Given every upstream is in mode repeat-refusal
+    When 20 <kind> requests are sent with key cuka-key
+    Then each caller received the response to its own request
+    And each request ran once
+
+    Examples:
+      | kind  |
+      | trade |
+      | read  |
+
   Scenario: A request that crashes upstreams is not sent to further ones
     Given every upstream is in mode reset
     When the same read request is sent 6 times
--- a/egrethall/entry/tests/steps/request_steps.py
+++ b/egrethall/entry/tests/steps/request_steps.py
@@ -173,6 +173,13 @@
     assert len(runs) == count, runs
 
 
+@then("each request ran once")
+def step_impl(context):
+    attempts = [run["attempt"] for run in context.fleet.read_runs()]
+    expected = sorted(reply.attempt for reply in context.callers.replies)
+    assert sorted(attempts) == expected, attempts
+
+
 @then("at most {count:d} upstreams started to run it")
 def step_impl(context, count):
     runs = context.fleet.read_runs()
--- a/standins/platform_upstream.py
+++ b/standins/platform_upstream.py
@@ -21,6 +21,14 @@
 ENDLESS_PIECE = b"x" * 64 * 1024
 ENDLESS_PAUSE_SECONDS = 0.002
 
+#: Refusals without a request ID that are written once more, by the mode that does so.
+EARLIER_REFUSALS = {
+    "repeat-refusal": b"HTTP/1.1 503 Status\r\nX-Not-Executed: 1\r\n"
+    b"Content-Length: 0\r\n\r\n",
+    "closing-refusal": b"HTTP/1.1 503 Status\r\nX-Not-Executed: 1\r\n"
+    b"Connection: close\r\nContent-Length: 0\r\n\r\n",
+}
+
 
 @dataclass(frozen=True)
 class Behaviour:
@@ -28,7 +36,9 @@
 
     #: ok, shed, reset, truncate, extra, silent, unsigned, error or garbage; also
     #: endless-head, endless-body, endless-error or endless-refusal, whose bytes do not
-    #: end before the connection does.
+    #: end before the connection does; cut-head, which ends within the head of the
+    #: response; and repeat-refusal or closing-refusal, in which a refusal without a
+    #: request ID, as of an earlier probe, precedes the response while the request runs.
     mode: str = "ok"
     work_ms: float = 5.0
     healthy: bool = True
@@ -147,6 +157,8 @@
             time.time(),
         )
         self._runs.append(run)
+        if behaviour.mode in EARLIER_REFUSALS:
+            writer.write(EARLIER_REFUSALS[behaviour.mode])
         self._running += 1
         try:
             if not await _work(behaviour.work_ms / 1000, reader):
@@ -177,6 +189,10 @@
             writer.write(_render(200, signed, body)[:-5])
             await writer.drain()
             return False
+        if mode == "cut-head":
+            writer.write(_render_head(200, signed)[:-2])
+            await writer.drain()
+            return False
         if mode == "garbage":
             writer.write(b"\x00\x01 this is no answer\r\n\r\n")
             await writer.drain()
