Bound the instances that call the store and what a starting fleet sends

Cause: two instances of each zone read the store, each of which called again 0.4 s after every change; in the first seconds, and whenever calls failed, all instances of a zone called it. The cycle of heartbeats went by the position in a list of all instances and skipped some whenever the list changed: in a play of 312 instances, after 40 s some knew 292 of 311 others, and thousands of pairs counted as silent. Every instance answered the first heartbeat of every other one with the names of 16 instances. A datagram with an address that is none ended the process when it was answered.

Change: ReaderElection lets one instance of each zone read (two if no other zone reads), at most two call in vain, and these take turns. The reader of the first zone announces changes to two instances of each other zone, which announce them there; readers of other zones call every 1.0 s at most. The cycle goes on behind the last recipient in the order of a hash, and new instances get a first heartbeat beside it. Answers name others only to an instance that knows fewer than 98 % of them. Addresses are checked when a message is decoded. The format of messages has a new version.

In plays: 312 instances know all others after 55 s, each introduced at most 60 times; no false silence in 60 s of 141 instances, as before.

--- a/egrethall/entry/_peer_links.py
+++ b/egrethall/entry/_peer_links.py
@@ -18,10 +18,11 @@
 from egrethall.placement import CrashGuard
 from egrethall.quota import FleetAllowances
 from egrethall.records import (
+    ReaderElection,
+    ReaderView,
     RecordCache,
     RecordFollower,
     SourceStatus,
-    is_reader,
 )
 from egrethall.types import Clock, Record, RecordSourceError, describe_revision
 
@@ -65,7 +66,10 @@
         self._crash_guard = crash_guard
         self._is_leaving = is_leaving
         self._clock = clock
-        self._started_at_seconds = clock.monotonic_seconds()
+        self._reader_election = ReaderElection(settings.name, clock)
+        self._others_read = False
+        #: Whether a reader of another availability zone announces changes to all zones.
+        self._is_backup = False
         self._sequence = 0
         self._exchange = FleetExchange(settings.peer_address, members, self)
         record_cache.subscribe(self._announce_records)
@@ -82,23 +86,40 @@
 
     def _announce_records(self, _: tuple[Record, ...]) -> None:
         if self._record_follower.is_reading:
-            self._exchange.announce_records()
+            self._exchange.announce_records(to_other_zones=not self._is_backup)
 
     def begin_round(self) -> None:
         """Updates the silent instances and whether this instance reads the store."""
         known, silent = self._members.find_names(), self._members.find_silent()
-        readers_in_zone, readers_elsewhere = self._members.find_readers(
-            self._settings.availability_zone, silent
-        )
-        age_seconds = self._clock.monotonic_seconds() - self._started_at_seconds
-        self._record_follower.set_reading_enabled(
-            is_reader(
-                self._settings.name, readers_in_zone, readers_elsewhere, age_seconds
-            )
-        )
+        self._elect_readers(silent)
         self._log_silent_changes(known, silent)
         self._allowances.begin_round(known, silent, self._members.cycle_seconds)
 
+    def _elect_readers(self, silent: frozenset[str]) -> None:
+        zone = self._settings.availability_zone
+        pollers = self._members.find_zone_pollers(zone)
+        elsewhere = [
+            member
+            for member in self._members.find_readers(silent)
+            if member.availability_zone != zone
+        ]
+        view = ReaderView(
+            same_zone_readers=[m.name for m in pollers if m.reads_store],
+            other_zone_readers=[m.name for m in elsewhere],
+            same_zone_pollers=[m.name for m in pollers],
+            same_zone_members=self._members.find_zone_names(zone, silent),
+        )
+        self._others_read = bool(view.same_zone_readers or elsewhere)
+        follower = self._record_follower
+        self._is_backup = any(m.availability_zone < zone for m in elsewhere)
+        follower.set_backup(self._is_backup)
+        follower.set_reading_enabled(
+            self._reader_election.decide(
+                view, polls=follower.is_polling, reads=follower.is_reading
+            ),
+            others_read=self._others_read,
+        )
+
     def _log_silent_changes(
         self, known: frozenset[str], silent: frozenset[str]
     ) -> None:
@@ -127,11 +148,13 @@
             leaving=self._is_leaving(),
             revision=self._record_cache.revision,
             reads_store=self._record_follower.is_reading,
+            polls_store=self._record_follower.is_polling,
             since_outage_seconds=self._source_status.measure_seconds_since_outage(),
             usage=self._allowances.build_usage(),
             crashes=self._crash_guard.list_reports(),
             members=self._members.choose_members(max_named),
             sequence=self._sequence,
+            known_count=self._members.fleet_size - 1,
         )
 
     def compose_reports(self) -> Mapping[str, UsageReports]:
@@ -167,11 +190,24 @@
         if heartbeat.crashes:
             self._crash_guard.merge_reports(heartbeat.crashes)
         self._record_follower.observe_peer_revision(heartbeat.revision)
-        if heartbeat.reads_store and not self._record_follower.is_reading:
+        if not self._record_follower.is_reading and (
+            heartbeat.reads_store or self._reports_outage(heartbeat)
+        ):
             self._source_status.observe_peer_recovery(heartbeat.since_outage_seconds)
         if self._record_sources.observe(heartbeat, self._record_cache.revision):
             self._peer_ahead.set()
 
+    def _reports_outage(self, heartbeat: Heartbeat) -> bool:
+        """Returns whether the sender's failing calls indicate an outage of the store.
+
+        While others read, the store rejects only the sender.
+        """
+        return (
+            heartbeat.polls_store
+            and heartbeat.since_outage_seconds == 0.0
+            and not self._others_read
+        )
+
     async def _read_records_from_peers(self) -> None:
         while True:
             await self._peer_ahead.wait()
@@ -195,4 +231,7 @@
                 before=describe_revision(self._record_cache.revision),
                 records=len(batch.records),
             )
+            revision_before = self._record_cache.revision
             self._record_cache.apply(batch)
+            if source.relay_requested and batch.revision > revision_before:
+                self._exchange.announce_records(to_other_zones=False)
--- a/egrethall/fleet/_gossip.py
+++ b/egrethall/fleet/_gossip.py
@@ -4,6 +4,7 @@
 
 import socket
 from collections.abc import Mapping
+from dataclasses import replace
 from typing import Protocol
 
 import anyio
@@ -13,7 +14,6 @@
 from egrethall.configuration import split_address
 from egrethall.fleet._members import (
     MEMBERS_PER_HEARTBEAT,
-    MEMBERS_PER_JOIN_ANSWER,
     FleetMembers,
 )
 from egrethall.fleet._messages import (
@@ -82,6 +82,8 @@
         self._participant = participant
         self._malformed_count = 0
         self._records_changed = anyio.Event()
+        #: Whether the next announcement goes to other zones as well.
+        self._relays_due = False
 
     async def run(self) -> None:
         """Exchanges heartbeats until cancelled; raises :class:`FleetSocketError`."""
@@ -101,18 +103,28 @@
                     self._send_round(sender)
                     await anyio.sleep(ROUND_SECONDS)
 
-    def announce_records(self) -> None:
-        """Schedules a heartbeat to the own availability zone, as records changed."""
+    def announce_records(self, *, to_other_zones: bool) -> None:
+        """Schedules heartbeats to the own availability zone, as records changed.
+
+        :param to_other_zones: whether a few instances of each other zone, which
+            announce the records there, get one as well.
+        """
+        self._relays_due = self._relays_due or to_other_zones
         self._records_changed.set()
 
     def _send_round(self, sender: socket.socket) -> None:
         """Sends a heartbeat to the recipients of this round, and the reports."""
         self._members.remove_expired()
         self._participant.begin_round()
-        datagram = encode_message(
-            self._participant.compose_heartbeat(MEMBERS_PER_HEARTBEAT)
-        )
-        for address in self._members.choose_recipients():
+        heartbeat = self._participant.compose_heartbeat(MEMBERS_PER_HEARTBEAT)
+        datagram = encode_message(heartbeat)
+        recipients = dict.fromkeys(self._members.choose_recipients())
+        if heartbeat.polls_store:
+            # The zone detects within a few rounds that its reader stopped.
+            recipients |= dict.fromkeys(
+                self._members.find_zone_addresses(heartbeat.availability_zone)
+            )
+        for address in recipients:
             _send(sender, datagram, address)
         for address, reports in self._participant.compose_reports().items():
             _send(sender, encode_message(reports), address)
@@ -121,6 +133,7 @@
         while True:
             await self._records_changed.wait()
             self._records_changed = anyio.Event()
+            relays_due, self._relays_due = self._relays_due, False
             # Sent twice, because a datagram may be lost.
             for _ in range(2):
                 heartbeat = self._participant.compose_heartbeat(MEMBERS_PER_HEARTBEAT)
@@ -128,6 +141,10 @@
                 zone = heartbeat.availability_zone
                 for address in self._members.find_zone_addresses(zone):
                     _send(sender, datagram, address)
+                if relays_due:
+                    request = encode_message(replace(heartbeat, relay_requested=True))
+                    for address in self._members.choose_relays(zone):
+                        _send(sender, request, address)
                 await anyio.sleep(ANNOUNCE_AGAIN_SECONDS)
 
     async def _listen(self, udp: UDPSocket, sender: socket.socket) -> None:
@@ -157,10 +174,13 @@
             logger.info(
                 "instance joined", name=heartbeat.name, address=heartbeat.address
             )
-            # Tells the new instance about other instances now instead of in the next
-            # round.
-            answer = self._participant.compose_heartbeat(MEMBERS_PER_JOIN_ANSWER)
+            # Tells the new instance about this one and, if it knows few others, about
+            # them, now instead of in the next cycle.
+            answer = self._participant.compose_heartbeat(
+                self._members.count_introductions(heartbeat)
+            )
             _send(sender, encode_message(answer), heartbeat.address)
+            self._members.record_sent(heartbeat.name)
         self._participant.receive_heartbeat(heartbeat)
 
 
--- a/egrethall/fleet/_members.py
+++ b/egrethall/fleet/_members.py
@@ -1,6 +1,6 @@
 """The other instances of the fleet, as far as this one knows them."""
 
-import itertools
+import bisect
 from dataclasses import dataclass
 
 from egrethall.fleet._messages import Heartbeat
@@ -10,7 +10,7 @@
     count_rounds_per_cycle,
     find_silent,
 )
-from egrethall.types import Clock, RandomSource
+from egrethall.types import Clock, RandomSource, weigh
 
 #: Time after which a silent instance is removed and its shares of the allowances with
 #: it. Longer than an availability zone takes to recover, because an instance that is
@@ -26,6 +26,20 @@
 MEMBERS_PER_HEARTBEAT = 2
 MEMBERS_PER_JOIN_ANSWER = 16
 
+#: Share of the known instances that a new one must know to need no introduction. Else
+#: each instance of a fleet that starts would introduce all others to it.
+INTRODUCED_RATIO = 0.98
+
+#: Instances to which a round sends their first heartbeat, beside those of the cycle.
+FIRST_CONTACTS_PER_ROUND = 4
+
+#: Time without a heartbeat after which a reader of the same availability zone counts as
+#: stopped, in rounds: readers send one to all of their zone in each round.
+READER_TIMEOUT_ROUNDS = 3.0
+
+#: Instances of each other availability zone that announce new records there.
+RELAYS_PER_ZONE = 2
+
 
 @dataclass
 class Member:
@@ -37,6 +51,8 @@
     run: int = 0
     #: True if it reads the store itself and the store answers.
     reads_store: bool = False
+    #: True if it calls the store, even if the store does not answer.
+    polls_store: bool = False
     #: Clock reading when its last heartbeat arrived; before the first one, when a
     #: heartbeat of another instance named it.
     last_seen_at_seconds: float = 0.0
@@ -68,11 +84,13 @@
         self._clock = clock
         self._random = random_source
         self._members: dict[str, Member] = {}
-        #: Where the cycle of recipients begins. It is random, so that the heartbeats of
-        #: all others do not reach an instance in the same round.
-        self._cycle_offset = random_source.getrandbits(16)
-        #: Number of recipients in all rounds so far.
-        self._recipient_count = 0
+        #: The other instances in the order of the cycle, by a hash of both names, so
+        #: that the heartbeats of all others do not reach one in the same round. The
+        #: cycle goes on behind the last recipient, also when instances join or leave.
+        self._cycle: list[tuple[bytes, str]] = []
+        self._last_recipient = (b"", "")
+        #: Names of the other instances to which nothing was sent yet.
+        self._unsent: set[str] = set()
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
         """Replaces the seeds."""
@@ -85,17 +103,18 @@
         for name, address in heartbeat.members:
             self._add_named(name, address)
         if heartbeat.leaving:
-            self._members.pop(heartbeat.name, None)
+            self._remove(heartbeat.name)
             return False
         member = self._members.get(heartbeat.name)
         is_new = member is None or member.run != heartbeat.run
         if member is None:
             member = Member(heartbeat.name, heartbeat.address)
-            self._members[heartbeat.name] = member
+            self._add(member)
         member.address = heartbeat.address
         member.availability_zone = heartbeat.availability_zone
         member.run = heartbeat.run
         member.reads_store = heartbeat.reads_store
+        member.polls_store = heartbeat.polls_store
         member.last_seen_at_seconds = self._clock.monotonic_seconds()
         member.confirmed = True
         return is_new
@@ -115,19 +134,33 @@
         if not expired or len(self.find_silent()) * 2 > len(self._members) + 1:
             return
         for name in expired:
-            del self._members[name]
+            self._remove(name)
 
     def choose_recipients(self) -> list[str]:
         """Returns the addresses to which the next round sends heartbeats."""
-        addresses = sorted(member.address for member in self._members.values())
-        unknown_seeds = [seed for seed in self._seeds if seed not in addresses]
-        if len(addresses) > MAX_SINGLE_ROUND_RECIPIENTS:
-            start = (self._cycle_offset + self._recipient_count) % len(addresses)
-            end = start + RECIPIENTS_PER_ROUND
-            self._recipient_count += RECIPIENTS_PER_ROUND
-            selected = itertools.islice(itertools.cycle(addresses), start, end)
-            addresses = list(selected)
-        return addresses + unknown_seeds
+        known = {member.address for member in self._members.values()}
+        unknown_seeds = [seed for seed in self._seeds if seed not in known]
+        names = set(self._members)
+        if len(names) > MAX_SINGLE_ROUND_RECIPIENTS:
+            names = set(self._take_from_cycle(RECIPIENTS_PER_ROUND))
+            unsent = sorted(self._unsent - names)
+            count = min(FIRST_CONTACTS_PER_ROUND, len(unsent))
+            names.update(self._random.sample(unsent, count))
+        self._unsent -= names
+        return [self._members[name].address for name in names] + unknown_seeds
+
+    def record_sent(self, name: str) -> None:
+        """Records that a heartbeat was sent to an instance outside of the rounds."""
+        self._unsent.discard(name)
+
+    def _take_from_cycle(self, count: int) -> list[str]:
+        start = bisect.bisect_right(self._cycle, self._last_recipient)
+        taken = [self._cycle[(start + n) % len(self._cycle)] for n in range(count)]
+        self._last_recipient = taken[-1]
+        return [name for _, name in taken]
+
+    def _find_cycle_position(self, name: str) -> tuple[bytes, str]:
+        return weigh(self._own_name, name), name
 
     def choose_members(self, max_count: int) -> tuple[tuple[str, str], ...]:
         """Returns the names and addresses of at most ``max_count`` random instances."""
@@ -165,22 +198,55 @@
             self._round_seconds,
         )
 
-    def find_readers(
-        self, zone: str, silent: frozenset[str]
-    ) -> tuple[list[str], list[str]]:
-        """Returns the names of the other instances that read the store.
+    def find_readers(self, silent: frozenset[str]) -> list[Member]:
+        """Returns the other instances that read the store; without ``silent`` ones."""
+        return [
+            member
+            for member in self._members.values()
+            if member.reads_store and member.name not in silent
+        ]
 
-        The first list has those of the availability zone ``zone``, the second one those
-        of other zones. Those in ``silent`` are left out.
-        """
-        in_zone: list[str] = []
-        elsewhere: list[str] = []
+    def find_zone_pollers(self, zone: str) -> list[Member]:
+        """Returns the instances of a zone that call the store, whether it answers."""
+        oldest_seconds = (
+            self._clock.monotonic_seconds()
+            - READER_TIMEOUT_ROUNDS * self._round_seconds
+        )
+        return [
+            member
+            for member in self._members.values()
+            if member.polls_store
+            and member.availability_zone == zone
+            and member.last_seen_at_seconds >= oldest_seconds
+        ]
+
+    def find_zone_names(self, zone: str, silent: frozenset[str]) -> list[str]:
+        """Returns the names of the other instances of a zone; without ``silent``."""
+        return [
+            member.name
+            for member in self._members.values()
+            if member.availability_zone == zone and member.name not in silent
+        ]
+
+    def choose_relays(self, own_zone: str) -> list[str]:
+        """Returns the addresses of a few random instances of each other zone."""
+        by_zone: dict[str, list[str]] = {}
         for member in self._members.values():
-            if member.reads_store and member.name not in silent:
-                (in_zone if member.availability_zone == zone else elsewhere).append(
-                    member.name
-                )
-        return in_zone, elsewhere
+            if member.confirmed and member.availability_zone != own_zone:
+                by_zone.setdefault(member.availability_zone, []).append(member.address)
+        return [
+            self._random.choice(addresses)
+            for addresses in by_zone.values()
+            for _ in range(RELAYS_PER_ZONE)
+        ]
+
+    def count_introductions(self, heartbeat: Heartbeat) -> int:
+        """Returns how many others the answer to a new instance names.
+
+        It names none to an instance that knows nearly as many as this one.
+        """
+        is_introduced = heartbeat.known_count >= INTRODUCED_RATIO * len(self._members)
+        return 0 if is_introduced else MEMBERS_PER_JOIN_ANSWER
 
     def find_address(self, name: str) -> str | None:
         """Returns the address of an instance, or None if it is not known."""
@@ -208,6 +274,16 @@
     def _add_named(self, name: str, address: str) -> None:
         if name == self._own_name or name in self._members:
             return
-        self._members[name] = Member(
-            name, address, last_seen_at_seconds=self._clock.monotonic_seconds()
+        self._add(
+            Member(name, address, last_seen_at_seconds=self._clock.monotonic_seconds())
         )
+
+    def _add(self, member: Member) -> None:
+        self._members[member.name] = member
+        self._unsent.add(member.name)
+        bisect.insort(self._cycle, self._find_cycle_position(member.name))
+
+    def _remove(self, name: str) -> None:
+        if self._members.pop(name, None) is not None:
+            self._unsent.discard(name)
+            self._cycle.remove(self._find_cycle_position(name))
--- a/egrethall/fleet/_messages.py
+++ b/egrethall/fleet/_messages.py
@@ -7,10 +7,11 @@
 
 import msgpack
 
+from egrethall.configuration import ADDRESS_RULE, is_address
 from egrethall.types import EgrethallError
 
 #: Version of the datagram format; datagrams of another version are dropped.
-FORMAT_VERSION = 4
+FORMAT_VERSION = 5
 
 
 #: Message kinds, as encoded in a datagram.
@@ -90,6 +91,8 @@
     revision: int
     #: True if the sender reads the store itself and the store answers.
     reads_store: bool = False
+    #: True if the sender calls the store, even if the store does not answer.
+    polls_store: bool = False
     #: Seconds since the store recovered from the last outage that the sender knows of;
     #: 0 during one, infinite without one.
     since_outage_seconds: float = math.inf
@@ -100,6 +103,11 @@
     members: tuple[tuple[str, str], ...] = ()
     #: Number of this heartbeat in the run.
     sequence: int = 0
+    #: Number of the other instances that the sender knows.
+    known_count: int = 0
+    #: True if the recipient is to read newer records at once and to announce them to
+    #: its availability zone.
+    relay_requested: bool = False
 
 
 Message = Heartbeat | UsageReports | CollectorAnswer
@@ -145,27 +153,34 @@
         heartbeat.crashes,
         heartbeat.members,
         heartbeat.sequence,
+        heartbeat.known_count,
+        heartbeat.polls_store,
+        heartbeat.relay_requested,
     )
 
 
 def _decode_heartbeat(fields: Sequence[Any]) -> Heartbeat:
     name, run, address, zone, leaving, revision, *rest = fields
-    reads_store, since_outage_seconds, usage, crashes, members, sequence = rest
+    reads_store, since_outage_seconds, usage, crashes, members, *rest = rest
+    sequence, known_count, polls_store, relay_requested = rest
     return Heartbeat(
         name=str(name),
         run=int(run),
-        address=str(address),
+        address=_check_address(address),
         availability_zone=str(zone),
         leaving=bool(leaving),
         revision=int(revision),
         reads_store=bool(reads_store),
+        polls_store=bool(polls_store),
         since_outage_seconds=float(since_outage_seconds),
         usage=_decode_usages(usage),
         crashes=tuple(
             (bytes(fingerprint), str(upstream)) for fingerprint, upstream in crashes
         ),
-        members=tuple((str(peer), str(where)) for peer, where in members),
+        members=tuple((str(peer), _check_address(where)) for peer, where in members),
         sequence=int(sequence),
+        known_count=int(known_count),
+        relay_requested=bool(relay_requested),
     )
 
 
@@ -183,7 +198,11 @@
 def _decode_reports(fields: Sequence[Any]) -> UsageReports:
     name, run, address, sequence, usage = fields
     return UsageReports(
-        str(name), int(run), str(address), int(sequence), _decode_usages(usage)
+        str(name),
+        int(run),
+        _check_address(address),
+        int(sequence),
+        _decode_usages(usage),
     )
 
 
@@ -216,6 +235,13 @@
     )
 
 
+def _check_address(value: object) -> str:
+    address = str(value)
+    if not is_address(address):
+        raise MalformedMessageError(f"{address[:40]!r} is not {ADDRESS_RULE}")
+    return address
+
+
 def _encode_usages(usages: Mapping[str, OrganisationUsage]) -> dict[str, Any]:
     return {
         organisation: (
--- a/egrethall/fleet/_record_sources.py
+++ b/egrethall/fleet/_record_sources.py
@@ -27,7 +27,8 @@
     def observe(self, heartbeat: Heartbeat, own_revision: int) -> bool:
         """Considers the sender as a source; returns whether to read from it.
 
-        An instance without any records accepts a source in any availability zone.
+        An instance without any records accepts a source in any availability zone, and
+        so does one that is to announce the records to its zone.
         """
         if heartbeat.revision <= own_revision:
             return False
@@ -39,6 +40,7 @@
         lagging_seconds = now_seconds - self._lagging_since_seconds
         if (
             not is_own_zone
+            and not heartbeat.relay_requested
             and own_revision
             and lagging_seconds < OWN_ZONE_FIRST_SECONDS
         ):
--- a/egrethall/fleet/tests/members.feature
+++ b/egrethall/fleet/tests/members.feature
@@ -13,6 +13,12 @@
     Then every instance knows the 140 others
     And no instance sent more than 27 heartbeats in a round
 
+  Scenario: Introductions of a starting fleet do not grow with its square
+    Given 312 instances with 3 seeds of which 0 is stale
+    When heartbeats are exchanged for 55 s
+    Then every instance knows the 311 others
+    And each instance was introduced to the others at most 60 times
+
   Scenario: A replaced instance is counted once
     Given 5 instances with 3 seeds of which 0 is stale
     When heartbeats are exchanged for 3 s
@@ -106,6 +112,7 @@
       | 5   | east | 0.0     | yes  |
       | 5   | west | 0.0     | no   |
       | 5   | west | 0.5     | yes  |
+      | 5   | west, which requests a relay, | 0.0 | yes |
       | 0   | west | 0.0     | yes  |
       | 9   | east | 0.5     | no   |
 
--- a/egrethall/fleet/tests/steps/member_steps.py
+++ b/egrethall/fleet/tests/steps/member_steps.py
@@ -6,7 +6,6 @@
 
 from egrethall.fleet import (
     MEMBERS_PER_HEARTBEAT,
-    MEMBERS_PER_JOIN_ANSWER,
     ROUND_SECONDS,
     CollectorAnswer,
     FleetExchange,
@@ -42,6 +41,8 @@
         self.partition = set()
         self.leaving = set()
         self.largest_round = 0
+        #: Number of answers to new instances that name others.
+        self.introductions = 0
 
     def make_members(self, number):
         return FleetMembers(
@@ -65,6 +66,7 @@
             number in self.leaving,
             0,
             members=self.members[number].choose_members(max_named),
+            known_count=self.members[number].fleet_size - 1,
         )
 
     def run(self, seconds):
@@ -85,9 +87,13 @@
             other in self.partition
         ):
             return
-        if self.members[other].observe(self.compose_heartbeat(number)):
-            answer = self.compose_heartbeat(other, MEMBERS_PER_JOIN_ANSWER)
+        heartbeat = self.compose_heartbeat(number)
+        if self.members[other].observe(heartbeat):
+            named_count = self.members[other].count_introductions(heartbeat)
+            self.introductions += named_count > 0
+            answer = self.compose_heartbeat(other, named_count)
             self.members[number].observe(answer)
+            self.members[other].record_sent(f"entry-{number}")
 
 
 @given("{count:d} instances with {seeds:d} seeds of which {stale:d} is stale")
@@ -156,6 +162,12 @@
         assert index == number or len(members.find_confirmed()) == count, index
 
 
+@then("each instance was introduced to the others at most {count:d} times")
+def step_impl(context, count):
+    fleet = context.fleet
+    assert fleet.introductions <= count * len(fleet.addresses), fleet.introductions
+
+
 @then("no instance sent more than {count:d} heartbeats in a round")
 def step_impl(context, count):
     assert context.fleet.largest_round <= count, context.fleet.largest_round
@@ -179,9 +191,12 @@
         reads_store=True,
         since_outage_seconds=0.5,
         usage={"cuka": OrganisationUsage(12, 3.5, -4.0, 3)},
+        polls_store=True,
         crashes=((b"12345678", "i-1"),),
         members=(("entry-2", "10.0.0.2:80"),),
         sequence=9,
+        known_count=300,
+        relay_requested=True,
     ),
     "a report to a collector": UsageReports(
         "entry-1", 7, "10.0.0.1:80", 9, {"cuka": OrganisationUsage(12, 3.5, -4.0, 3)}
@@ -241,7 +256,10 @@
         first = Heartbeat("a", 1, "10.0.0.1:80", "west", False, revision - 1)
         context.sources.observe(first, context.revision)
         context.clock.advance(seconds)
-    heartbeat = Heartbeat("b", 1, "10.0.0.2:80", zone, False, revision)
+    zone, _, request = zone.partition(",")
+    heartbeat = Heartbeat(
+        "b", 1, "10.0.0.2:80", zone, False, revision, relay_requested=bool(request)
+    )
     context.read = context.sources.observe(heartbeat, context.revision)
 
 
--- a/egrethall/records/__init__.py
+++ b/egrethall/records/__init__.py
@@ -2,6 +2,12 @@
 
 from egrethall.records._cache import RecordCache
 from egrethall.records._follower import RecordFollower, SourceStatus
-from egrethall.records._readers import is_reader
+from egrethall.records._readers import ReaderElection, ReaderView
 
-__all__ = ["RecordCache", "RecordFollower", "SourceStatus", "is_reader"]
+__all__ = [
+    "ReaderElection",
+    "ReaderView",
+    "RecordCache",
+    "RecordFollower",
+    "SourceStatus",
+]
--- a/egrethall/records/_follower.py
+++ b/egrethall/records/_follower.py
@@ -21,6 +21,10 @@
 #: call is billed, but a change must be in force two seconds after it was made.
 BATCHING_SECONDS = 0.4
 
+#: Likewise, if a reader of another availability zone announces the changes, so that
+#: this one only has to cover the loss of that reader or of the path to it.
+BACKUP_BATCHING_SECONDS = 1.0
+
 #: Interval at which a starting instance checks for records from other instances.
 STARTUP_POLL_SECONDS = 0.02
 
@@ -127,6 +131,7 @@
         self._reading_enabled = True
         self._reading_resumed = anyio.Event()
         self._lagging_since_seconds: float | None = None
+        self._batching_seconds = BATCHING_SECONDS
 
     async def run(self, first_wait_seconds: float = 0.0) -> None:
         """Keeps the cache up to date until cancelled.
@@ -173,8 +178,23 @@
             and self._cache.revision > 0
         )
 
-    def set_reading_enabled(self, enabled: bool) -> None:
-        """Starts reading from the source, or stops and leaves it to other instances."""
+    @property
+    def is_polling(self) -> bool:
+        """Whether this instance calls the source, even if it does not answer."""
+        return self._reading_enabled
+
+    def set_backup(self, is_backup: bool) -> None:
+        """Sets whether a reader of another availability zone announces changes."""
+        self._batching_seconds = (
+            BACKUP_BATCHING_SECONDS if is_backup else BATCHING_SECONDS
+        )
+
+    def set_reading_enabled(self, enabled: bool, *, others_read: bool = True) -> None:
+        """Starts reading from the source, or stops and leaves it to other instances.
+
+        :param others_read: whether other instances read successfully, so that an outage
+            affects only this one.
+        """
         if enabled == self._reading_enabled:
             return
         self._reading_enabled = enabled
@@ -183,7 +203,8 @@
             self._reading_resumed.set()
             self._reading_resumed = anyio.Event()
             return
-        self._status.discard_outage()
+        if others_read:
+            self._status.discard_outage()
         if self._watch_scope is not None:
             self._watch_scope.cancel()
 
@@ -215,7 +236,7 @@
             self._status.observe_success(batch.revision)
             self._apply_batch(batch)
         self._watch_scope = None
-        await self._sleep(BATCHING_SECONDS)
+        await self._sleep(self._batching_seconds)
 
     def _apply_batch(self, batch: RecordBatch) -> None:
         before, ignored_before = self._cache.revision, self._cache.ignored_count
--- a/egrethall/records/_readers.py
+++ b/egrethall/records/_readers.py
@@ -1,33 +1,115 @@
 """Selects the instances that read the record source on behalf of the others."""
 
 from collections.abc import Collection
+from dataclasses import dataclass
+
+from egrethall.types import Clock
 
 #: Instances of an availability zone that read the record source at the same time. Calls
-#: to it are billed, so their number must not grow with the fleet. With two, the loss of
-#: one causes no delay.
-READERS_PER_ZONE = 2
+#: to it are billed, so their number must not grow with the fleet.
+READERS_PER_ZONE = 1
+
+#: Likewise while no other zone is known to read: the loss of one causes no delay.
+READERS_OF_ONLY_ZONE = 2
+
+#: Instances of an availability zone that call the record source while none of them
+#: succeeds. It bounds the calls during an outage.
+POLLERS_PER_ZONE = 2
+
+#: Time after which an instance whose calls fail lets another one of its zone try: the
+#: source may reject some instances only. It then pauses for as long.
+ROTATION_SECONDS = 2.0
 
-#: Time after its start in which an instance learns of the readers of its availability
-#: zone. In four rounds of heartbeats it learns of two or more in a fleet of any size.
+#: Time after its start in which an instance learns of readers. In four rounds of
+#: heartbeats it learns of some in a fleet of any size.
 DISCOVERY_SECONDS = 2.0
 
+#: Delay before an instance replaces a missing reader, for each instance that precedes
+#: it, so that they do not all start to read. One round of heartbeats.
+TAKEOVER_STEP_SECONDS = 0.5
+
+#: Largest number of steps of that delay.
+MAX_TAKEOVER_STEPS = 4
+
+
+@dataclass(frozen=True)
+class ReaderView:
+    """What an instance knows of the readers of the record source."""
+
+    #: Names of the other instances of its availability zone whose calls succeed.
+    same_zone_readers: Collection[str] = ()
+    #: Likewise, of the other availability zones.
+    other_zone_readers: Collection[str] = ()
+    #: Names of the other instances of its zone that call the source, also in vain.
+    same_zone_pollers: Collection[str] = ()
+    #: Names of all other instances of its zone.
+    same_zone_members: Collection[str] = ()
 
-def is_reader(
-    own_name: str,
-    same_zone_readers: Collection[str],
-    other_zone_readers: Collection[str] = (),
-    uptime_seconds: float = DISCOVERY_SECONDS,
-) -> bool:
-    """Returns whether an instance reads the record source itself.
-
-    :param same_zone_readers: names of the other instances of its availability zone that
-        read the record source successfully. An instance whose calls fail is not among
-        them, so that the next one takes its place.
-    :param other_zone_readers: likewise, of the other availability zones.
-    :param uptime_seconds: time since its start. An instance that has just started does
-        not read if it knows of any reader.
+
+class ReaderElection:
+    """Decides in each round whether this instance calls the record source.
+
+    Readers stay until another one of their zone with a lower name reads as well.
     """
-    if uptime_seconds < DISCOVERY_SECONDS and (same_zone_readers or other_zone_readers):
+
+    def __init__(self, own_name: str, clock: Clock) -> None:
+        self._own_name = own_name
+        self._clock = clock
+        self._started_at_seconds = clock.monotonic_seconds()
+        #: Clock readings: since when no reader is known, since when own calls fail, and
+        #: until when another instance may try.
+        self._vacant_since_seconds: float | None = None
+        self._failing_since_seconds: float | None = None
+        self._pausing_until_seconds = float("-inf")
+
+    def decide(self, view: ReaderView, *, polls: bool, reads: bool) -> bool:
+        """Returns whether the instance calls the source from now on.
+
+        :param polls: whether it does so at present.
+        :param reads: whether its calls succeed at present.
+        """
+        now_seconds = self._clock.monotonic_seconds()
+        max_readers = (
+            READERS_PER_ZONE if view.other_zone_readers else READERS_OF_ONLY_ZONE
+        )
+        if not polls or reads:
+            self._failing_since_seconds = None
+        if reads:
+            return self._count_preceding(view.same_zone_readers) < max_readers
+        if len(view.same_zone_readers) >= max_readers:
+            self._vacant_since_seconds = None
+            return False
+        is_starting = now_seconds - self._started_at_seconds < DISCOVERY_SECONDS
+        if is_starting and (view.same_zone_readers or view.other_zone_readers):
+            return False
+        if polls:
+            return self._may_go_on_trying(view, now_seconds)
+        return self._may_start(view, now_seconds)
+
+    def _may_go_on_trying(self, view: ReaderView, now_seconds: float) -> bool:
+        if self._count_preceding(view.same_zone_pollers) >= POLLERS_PER_ZONE:
+            return False
+        if self._failing_since_seconds is None:
+            self._failing_since_seconds = now_seconds
+        failing_seconds = now_seconds - self._failing_since_seconds
+        if failing_seconds < ROTATION_SECONDS or not view.same_zone_members:
+            return True
+        self._vacant_since_seconds = None
+        self._pausing_until_seconds = now_seconds + ROTATION_SECONDS
         return False
-    preceding = sum(name < own_name for name in same_zone_readers)
-    return preceding < READERS_PER_ZONE
+
+    def _may_start(self, view: ReaderView, now_seconds: float) -> bool:
+        if len(view.same_zone_pollers) >= POLLERS_PER_ZONE:
+            self._vacant_since_seconds = None
+            return False
+        if self._vacant_since_seconds is None:
+            self._vacant_since_seconds = now_seconds
+        steps = min(self._count_preceding(view.same_zone_members), MAX_TAKEOVER_STEPS)
+        start_at_seconds = max(
+            self._vacant_since_seconds + steps * TAKEOVER_STEP_SECONDS,
+            self._pausing_until_seconds,
+        )
+        return now_seconds >= start_at_seconds
+
+    def _count_preceding(self, names: Collection[str]) -> int:
+        return sum(name < self._own_name for name in names)
--- a/egrethall/records/tests/readers.feature
+++ b/egrethall/records/tests/readers.feature
@@ -2,17 +2,38 @@
   Guards against calls whose number grows with the fleet, and against an availability
   zone without a working reader because the calls of its readers fail.
 
-  Scenario Outline: Two instances of an availability zone read
-    Given instances a b c d of an availability zone, of which <answered> reach the source
-    When they tell each other which of them read
+  Scenario Outline: A few instances read for the fleet, and more only if calls fail
+    Given zones of <sizes> instances, of which <failing> do not reach the source
+    When they exchange heartbeats for 20 s
     Then <readers> read the record source
+    And at most <calling> instances called it at once after the first 3 s
 
     Examples:
-      | answered | readers |
-      | a b c d  | a b     |
-      | b c d    | a b c   |
-      | c d      | a b c d |
-      | none     | a b c d |
+      | sizes | failing       | readers  | calling |
+      | 4     | none          | a0 a1    | 2       |
+      | 4     | a0            | a1 a2    | 3       |
+      | 4 4 4 | none          | a0 b0 c0 | 3       |
+      | 4 4 4 | a0            | a1 b0 c0 | 5       |
+      | 4 4   | a0 a1 a2 a3   | b0 b1    | 4       |
+      | 4 4   | everybody     | none     | 4       |
+      | 62 62 | none          | a0 b0    | 2       |
+      | 62 62 | everybody     | none     | 4       |
+
+  Scenario: A zone replaces a lost reader
+    Given zones of 4 4 instances, of which none do not reach the source
+    When they exchange heartbeats for 20 s
+    And instance a0 is lost and heartbeats are exchanged for 3 s
+    Then a1 b0 read the record source
+
+  Scenario: Each instance of a zone tries while the source rejects some of them
+    Given zones of 6 instances, of which a0 a1 a2 a3 a4 do not reach the source
+    When they exchange heartbeats for 20 s
+    Then a5 read the record source
+
+  Scenario: The only instance of a zone goes on calling in vain
+    Given zones of 1 instances, of which everybody do not reach the source
+    When they exchange heartbeats for 20 s
+    Then a0 call the record source
 
   Scenario Outline: An instance that has just started does not read if another one does
     Given instance x, which started <age> s ago and knows of <heard>
@@ -27,6 +48,11 @@
       | 2.5 | a reader elsewhere   | its own        |
       | 2.5 | reader a of its zone | its own        |
 
+  Scenario: A reader that other zones rely on calls more often than their backups
+    When the source responds with all:5 changes:7 changes:9
+    And the follower is a backup
+    Then it pauses for 1.0 s after each change
+
   Scenario: A reader stops reading and starts again
     When the source responds with all:5 silence changes:7
     And the follower stops reading and starts again
@@ -39,3 +65,8 @@
     Given a follower during an outage of its source
     When it stops reading
     Then removals are not attributed to an outage
+
+  Scenario: An outage is remembered when nobody reads in the place of an instance
+    Given a follower during an outage of its source
+    When it stops reading while no other instance reads
+    Then removals are attributed to an outage
--- a/egrethall/records/tests/steps/follower_steps.py
+++ b/egrethall/records/tests/steps/follower_steps.py
@@ -51,6 +51,7 @@
         self.script = script
         self.peer_revision = 0
         self.restarts_reading = False
+        self.is_backup = False
 
     async def sleep(self, seconds):
         self.pauses.append(seconds)
@@ -66,6 +67,7 @@
             random.Random(3),
             self.sleep,
         )
+        follower.set_backup(self.is_backup)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(follower.run)
             with anyio.fail_after(5):
--- a/egrethall/records/tests/steps/reader_steps.py
+++ b/egrethall/records/tests/steps/reader_steps.py
@@ -1,53 +1,125 @@
 import random
 
+import anyio
 from behave import given, then, when
 
-from egrethall.records import RecordCache, RecordFollower, SourceStatus, is_reader
+from egrethall.records import (
+    ReaderElection,
+    ReaderView,
+    RecordCache,
+    RecordFollower,
+    SourceStatus,
+)
 from egrethall.types import ManualClock, RecordSourceError
 
-#: Rounds of heartbeats after which the set of readers is stable.
-ROUNDS = 10
-
-
-class ReaderZone:
-    """Instances that select readers by the heartbeats of the previous round."""
+ROUND_SECONDS = 0.5
+
+#: Time after which the calls of instances that have just started are bounded.
+SETTLING_SECONDS = 3.0
+
+
+class ReaderFleet:
+    """Instances that know the state of all others in the previous round."""
+
+    def __init__(self, sizes, failing):
+        self.clock = ManualClock()
+        self.names = [
+            f"{zone}{number}"
+            for zone, size in zip("abcdef", sizes, strict=False)
+            for number in range(size)
+        ]
+        self.failing = set(self.names) if failing == "everybody" else set(failing)
+        self.elections = {name: ReaderElection(name, self.clock) for name in self.names}
+        #: Instances that call the source.
+        self.polling = set(self.names)
+        self.elapsed_seconds = 0.0
+        self.largest_polling = 0
+
+    @property
+    def reading(self):
+        return self.polling - self.failing
+
+    def run(self, seconds):
+        end_seconds = self.elapsed_seconds + seconds
+        while self.elapsed_seconds < end_seconds:
+            self.clock.advance(ROUND_SECONDS)
+            self.elapsed_seconds += ROUND_SECONDS
+            # Instances begin their rounds one after the other.
+            for name in self.names:
+                others_polling = self.polling - {name}
+                if self.decide(name, others_polling):
+                    self.polling.add(name)
+                else:
+                    self.polling.discard(name)
+            if self.elapsed_seconds > SETTLING_SECONDS:
+                self.largest_polling = max(self.largest_polling, len(self.polling))
+
+    def decide(self, name, others_polling):
+        zone = name[0]
+        others_reading = others_polling - self.failing
+        view = ReaderView(
+            same_zone_readers=[n for n in others_reading if n[0] == zone],
+            other_zone_readers=[n for n in others_reading if n[0] != zone],
+            same_zone_pollers=[n for n in others_polling if n[0] == zone],
+            same_zone_members=[n for n in self.names if n[0] == zone and n != name],
+        )
+        polls = name in self.polling
+        return self.elections[name].decide(
+            view, polls=polls, reads=polls and name not in self.failing
+        )
+
+    def lose(self, name):
+        self.names.remove(name)
+        self.polling.discard(name)
+
+
+@given("zones of {sizes} instances, of which {failing} do not reach the source")
+def step_impl(context, sizes, failing):
+    names = {"none": [], "everybody": "everybody"}.get(failing, failing.split())
+    context.fleet = ReaderFleet([int(size) for size in sizes.split()], names)
+
+
+@when("they exchange heartbeats for {seconds:d} s")
+def step_impl(context, seconds):
+    context.fleet.run(seconds)
+
+
+@when("instance {name} is lost and heartbeats are exchanged for {seconds:d} s")
+def step_impl(context, name, seconds):
+    context.fleet.lose(name)
+    context.fleet.run(seconds)
 
-    def __init__(self, names, connected):
-        self.names, self.connected = names, connected
-        self.reading = set(names)
 
-    def settle(self):
-        for _ in range(ROUNDS):
-            known = self.reading & self.connected
-            self.reading = {
-                name for name in self.names if is_reader(name, known - {name})
-            }
-
-
-@given(
-    "instances {names} of an availability zone, of which {connected} reach the source"
-)
-def step_impl(context, names, connected):
-    context.zone = ReaderZone(names.split(), set(connected.split()) - {"none"})
+@then("{names} read the record source")
+def step_impl(context, names):
+    expected = set(names.split()) - {"none"}
+    assert context.fleet.reading == expected, context.fleet.reading
 
 
-@when("they tell each other which of them read")
-def step_impl(context):
-    context.zone.settle()
+@then("{names} call the record source")
+def step_impl(context, names):
+    assert context.fleet.polling == set(names.split()), context.fleet.polling
 
 
-@then("{names} read the record source")
-def step_impl(context, names):
-    assert context.zone.reading == set(names.split()), context.zone.reading
+@then("at most {count:d} instances called it at once after the first 3 s")
+def step_impl(context, count):
+    assert context.fleet.largest_polling <= count, context.fleet.largest_polling
 
 
 @given("instance x, which started {age:f} s ago and knows of {known}")
 def step_impl(context, age, known):
     same_zone = {"reader a of its zone": ["a"], "reader z of its zone": ["z"]}
     other_zone = {"a reader elsewhere": ["a"]}
-    context.reads = is_reader(
-        "x", same_zone.get(known, []), other_zone.get(known, []), age
+    clock = ManualClock()
+    election = ReaderElection("x", clock)
+    clock.advance(age)
+    view = ReaderView(
+        same_zone_readers=same_zone.get(known, []),
+        other_zone_readers=other_zone.get(known, []),
+        same_zone_pollers=same_zone.get(known, []),
+        same_zone_members=same_zone.get(known, []),
     )
+    context.reads = election.decide(view, polls=True, reads=False)
 
 
 @then("reading is {task}")
@@ -55,6 +127,17 @@
     assert context.reads == (task == "its own"), context.reads
 
 
+@when("the follower is a backup")
+def step_impl(context):
+    context.subject.is_backup = True
+
+
+@then("it pauses for {seconds:f} s after each change")
+def step_impl(context, seconds):
+    anyio.run(context.subject.run)
+    assert set(context.subject.pauses) == {seconds}, context.subject.pauses
+
+
 @when("the follower stops reading and starts again")
 def step_impl(context):
     context.subject.restarts_reading = True
@@ -70,6 +153,16 @@
     )
 
 
+@when("it stops reading while no other instance reads")
+def step_impl(context):
+    context.follower.set_reading_enabled(False, others_read=False)
+
+
+@then("removals are attributed to an outage")
+def step_impl(context):
+    assert context.status.measure_seconds_since_outage() == 0.0
+
+
 @when("it stops reading")
 def step_impl(context):
     context.follower.set_reading_enabled(False)
