Count the deadline of a pipelined request from its arrival

Cause: a request that had arrived while an earlier one of its connection was served counted as received when its turn came. Upstreams were told more time than its caller would wait: 2,985 ms for each of three requests of 400 ms that arrived together with a deadline of 3,000 ms.

Change: the connection keeps when each part of its data arrived; a request counts from the arrival of the last byte of its head.

Result: 'The deadline of a pipelined request counts from its arrival' failed before and passes; http1 and placer features: 42 passed.

--- a/egrethall/entry/_caller_connection.py
+++ b/egrethall/entry/_caller_connection.py
@@ -101,7 +101,7 @@
         clock: Clock,
     ) -> None:
         limits = find_limits()
-        self._connection = ServerConnection(stream, limits.max_header_bytes)
+        self._connection = ServerConnection(stream, limits.max_header_bytes, clock)
         self._application = application
         self._find_limits = find_limits
         self._serving = serving
@@ -144,7 +144,7 @@
         try:
             with anyio.fail_after(limits.header_timeout_seconds):
                 head = await self._connection.receive_head()
-            received_at_seconds = self._clock.monotonic_seconds()
+            received_at_seconds = self._connection.head_received_at_seconds
             with anyio.fail_after(limits.idle_timeout_seconds):
                 body = await self._connection.receive_body(limits.max_body_bytes)
         except RequestRejectedError as error:
--- a/egrethall/entry/_daemon.py
+++ b/egrethall/entry/_daemon.py
@@ -165,11 +165,13 @@
                 serve_pages,
                 self._settings.ready_address,
                 {b"/ready": self._render_readiness_page},
+                self._clock,
             )
             tasks.start_soon(
                 serve_pages,
                 self._settings.metrics_address,
                 {b"/metrics": self._render_metrics_page},
+                self._clock,
             )
             tasks.start_soon(self._run_maintenance)
             tasks.start_soon(self._handle_signals, tasks.cancel_scope)
--- a/egrethall/entry/_page_server.py
+++ b/egrethall/entry/_page_server.py
@@ -12,6 +12,7 @@
     RequestRejectedError,
     ServerConnection,
 )
+from egrethall.types import Clock
 
 #: Limit of the headers of a request, and of its body.
 MAX_HEAD_BYTES = 4096
@@ -25,13 +26,15 @@
 logger = structlog.get_logger(__name__)
 
 
-async def serve_pages(address: str, pages: Mapping[bytes, PageRenderer]) -> None:
+async def serve_pages(
+    address: str, pages: Mapping[bytes, PageRenderer], clock: Clock
+) -> None:
     """Serves ``pages``, a mapping from path to renderer, until cancelled."""
     host, port = split_address(address)
     listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
 
     async def serve(stream: SocketStream) -> None:
-        connection = ServerConnection(stream, MAX_HEAD_BYTES)
+        connection = ServerConnection(stream, MAX_HEAD_BYTES, clock)
         try:
             with anyio.move_on_after(MAX_CONNECTION_SECONDS):
                 while await connection.wait_for_request():
--- a/egrethall/entry/tests/entry_callers.py
+++ b/egrethall/entry/tests/entry_callers.py
@@ -101,6 +101,24 @@
             )
             time.sleep(seconds)
 
+    def pipeline(self, count, key, deadline_ms):
+        """Sends several requests at once; returns what arrives for them."""
+        port = self.fleet.ports["entry-0"]
+        with socket.create_connection(("127.0.0.1", port)) as connection:
+            connection.settimeout(CALL_TIMEOUT_SECONDS)
+            requests = [
+                f"GET /slow/{make_unique_name()} HTTP/1.1\r\nhost: {HOST}\r\n"
+                f"x-attempt-id: pipelined-{number}\r\n"
+                f"x-deadline-ms: {deadline_ms}\r\nx-api-key: {key}\r\n"
+                + ("connection: close\r\n\r\n" if number == count - 1 else "\r\n")
+                for number in range(count)
+            ]
+            connection.sendall("".join(requests).encode())
+            received = b""
+            while data := connection.recv(65536):
+                received += data
+        return received.decode()
+
     def call_continuously(self, entry, key, seconds, threads=4):
         end_at_seconds = time.monotonic() + seconds
         replies = []
--- a/egrethall/entry/tests/requests.feature
+++ b/egrethall/entry/tests/requests.feature
@@ -99,6 +99,12 @@
     When the caller of a read request disconnects after 0.2 s
     Then the upstream cancels the request within 0.5 s
 
+  Scenario: The deadline of a pipelined request counts from its arrival
+    Given every upstream works for 400 ms
+    When 3 requests with a deadline of 3000 ms are pipelined on one connection
+    Then their responses arrive in the order of the requests
+    And the upstreams were told at most 3000, 2650 and 2300 ms as the time left
+
   Scenario: A request is refused when the timeout of its route expires
     Given every upstream works for 3000 ms
     When a request to /read/1 with key cuka-key is sent with a deadline of 2000 ms
--- a/egrethall/entry/tests/steps/request_steps.py
+++ b/egrethall/entry/tests/steps/request_steps.py
@@ -1,4 +1,5 @@
 import atexit
+import re
 import time
 
 from behave import given, then, when
@@ -103,6 +104,33 @@
     context.reply = context.callers.call(path, key, deadline_ms=deadline_ms)
 
 
+@when(
+    "{count:d} requests with a deadline of {deadline_ms:d} ms are pipelined on one"
+    " connection"
+)
+def step_impl(context, count, deadline_ms):
+    context.count = count
+    context.received = context.callers.pipeline(count, "cuka-key", deadline_ms)
+
+
+@then("their responses arrive in the order of the requests")
+def step_impl(context):
+    bodies = re.findall(r"answer to (pipelined-\d) of", context.received)
+    expected = [f"pipelined-{number}" for number in range(context.count)]
+    assert bodies == expected, context.received
+
+
+@then(
+    "the upstreams were told at most {first:d}, {second:d} and {third:d} ms as the"
+    " time left"
+)
+def step_impl(context, first, second, third):
+    runs = context.fleet.read_runs()
+    told_ms = {run["attempt"]: int(run["headers"]["x-deadline-ms"]) for run in runs}
+    for number, limit_ms in enumerate((first, second, third)):
+        assert told_ms[f"pipelined-{number}"] <= limit_ms, told_ms
+
+
 @when("the same read request is sent {count:d} times")
 def step_impl(context, count):
     path = f"/read/{make_unique_name()}"
--- a/egrethall/http1/_server.py
+++ b/egrethall/http1/_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass
 
 import anyio
@@ -10,7 +11,7 @@
 
 from egrethall.http1._client import MAX_READ_BYTES
 from egrethall.http1._errors import ConnectionLostError
-from egrethall.types import EgrethallError, Headers
+from egrethall.types import Clock, EgrethallError, Headers
 
 #: Allowance for the request line on top of the limit for the headers.
 REQUEST_LINE_ALLOWANCE_BYTES = 8 * 1024
@@ -41,8 +42,18 @@
     The methods raise :class:`ConnectionLostError` if the client has disconnected.
     """
 
-    def __init__(self, stream: SocketStream, max_header_bytes: int) -> None:
+    def __init__(
+        self, stream: SocketStream, max_header_bytes: int, clock: Clock
+    ) -> None:
         self._stream = stream
+        self._clock = clock
+        #: For each part of the data that was received and not parsed before: the number
+        #: of bytes received until its end, and the monotonic clock reading.
+        self._arrivals: deque[tuple[int, float]] = deque()
+        self._received_bytes = 0
+        #: Monotonic clock reading at which the last byte of the latest head arrived,
+        #: which may have been while an earlier request was served.
+        self.head_received_at_seconds = 0.0
         self._parser = h11.Connection(
             h11.SERVER, max_header_bytes + REQUEST_LINE_ALLOWANCE_BYTES
         )
@@ -67,7 +78,7 @@
             return False
         except (anyio.BrokenResourceError, anyio.ClosedResourceError):
             return False
-        self._parser.receive_data(data)
+        self._buffer(data)
         return True
 
     async def receive_head(self) -> RequestHead:
@@ -78,6 +89,7 @@
         event = await self._receive_event()
         if not isinstance(event, h11.Request):
             raise ConnectionLostError("the client disconnected")
+        self.head_received_at_seconds = self._find_arrival_seconds()
         headers = tuple(event.headers)
         hosts = [value for name, value in headers if name == b"host"]
         if len(hosts) > 1:
@@ -128,7 +140,7 @@
                 anyio.ClosedResourceError,
             ):
                 return
-            self._parser.receive_data(data)
+            self._buffer(data)
             if len(self._parser.trailing_data[0]) > MAX_READ_BYTES:
                 await anyio.sleep_forever()
 
@@ -205,6 +217,19 @@
             except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
                 raise ConnectionLostError("the client disconnected") from error
             try:
-                self._parser.receive_data(data)
+                self._buffer(data)
             except h11.RemoteProtocolError as error:
                 raise RequestRejectedError(400, str(error)) from error
+
+    def _buffer(self, data: bytes) -> None:
+        self._received_bytes += len(data)
+        arrived_at_seconds = self._clock.monotonic_seconds()
+        self._arrivals.append((self._received_bytes, arrived_at_seconds))
+        self._parser.receive_data(data)
+
+    def _find_arrival_seconds(self) -> float:
+        """Returns when the last byte that was parsed so far arrived."""
+        parsed_bytes = self._received_bytes - len(self._parser.trailing_data[0])
+        while len(self._arrivals) > 1 and self._arrivals[0][0] < parsed_bytes:
+            self._arrivals.popleft()
+        return self._arrivals[0][1]
--- a/egrethall/http1/tests/steps/http1_steps.py
+++ b/egrethall/http1/tests/steps/http1_steps.py
@@ -12,6 +12,7 @@
     RequestRejectedError,
     ServerConnection,
 )
+from egrethall.types import SystemClock
 
 MAX_BODY_BYTES = 30
 MAX_HEADER_BYTES = 1000
@@ -128,7 +129,7 @@
         server_socket, client_socket = socket.socketpair()
         client_socket.sendall(self.sent_bytes)
         stream = await anyio.abc.SocketStream.from_socket(server_socket)
-        connection = ServerConnection(stream, MAX_HEADER_BYTES)
+        connection = ServerConnection(stream, MAX_HEADER_BYTES, SystemClock())
         try:
             with anyio.move_on_after(0.2):
                 return await self._read(connection, client_socket)
