Serve the most urgent waiting request first and bound the probes of waiting ones

Change: WaitingLine lets the most urgent waiting request of a service look for an upstream, one at a time; ProbeAllowance keeps the probes of an instance within its share of what upstreams accept from the fleet (bounds.probes_per_second, new). Both are in placement/ and need no network.

--- a/egrethall/entry/_daemon.py
+++ b/egrethall/entry/_daemon.py
@@ -40,6 +40,7 @@
     ColdStartShares,
     CrashGuard,
     PeerInstance,
+    ProbeAllowance,
     RateLimitShares,
     UpstreamTable,
 )
@@ -203,6 +204,11 @@
                 self,
                 self._clock,
             ),
+            ProbeAllowance(
+                self._settings.bounds.probes_per_second,
+                lambda: self._members.fleet_size,
+                self._clock,
+            ),
             self,
             self._clock,
             self._random,
--- a/egrethall/entry/_placer.py
+++ b/egrethall/entry/_placer.py
@@ -1,5 +1,6 @@
 """Selects the upstream for one attempt by the load that candidates report."""
 
+from collections import defaultdict
 from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Protocol
@@ -11,8 +12,10 @@
     CandidateLoad,
     ColdStartShares,
     CostPolicy,
+    ProbeAllowance,
     RateLimitShares,
     UpstreamTable,
+    WaitingLine,
     estimate_cost,
 )
 from egrethall.types import (
@@ -70,6 +73,8 @@
     deadline_at_seconds: float
     #: Names of upstreams that must not be selected.
     excluded: frozenset[str]
+    #: Rank among the requests that wait for an upstream; 0 is the most urgent.
+    priority: int = 0
     #: True if the request must not be queued at an upstream, nor wait for one.
     requires_free_slot: bool = False
 
@@ -84,6 +89,7 @@
         prober: Prober,
         cold_shares: ColdStartShares,
         limit_shares: RateLimitShares,
+        probe_allowance: ProbeAllowance,
         instances: InstanceDirectory,
         clock: Clock,
         random_source: RandomSource,
@@ -94,6 +100,9 @@
         self._prober = prober
         self._cold_shares = cold_shares
         self._limit_shares = limit_shares
+        self._probe_allowance = probe_allowance
+        #: The requests that wait for an upstream, by service.
+        self._lines: defaultdict[str, WaitingLine] = defaultdict(WaitingLine)
         self._instances = instances
         self._clock = clock
         self._random = random_source
@@ -109,31 +118,57 @@
             self._clock.monotonic_seconds()
             + MAX_WAIT_OBJECTIVE_RATIO * request.objective_seconds,
         )
-        while True:
+        line = self._lines[request.service.name]
+        if not line.occupied:
             chosen = await self._probe_and_choose(request)
             if chosen is not None:
                 return chosen
-            if request.requires_free_slot:
-                raise self._make_refusal(
-                    RefusalReason.OVERLOADED, "No upstream is free."
-                )
-            if not self._table.find_usable(request.service.name):
-                raise self._make_refusal(
-                    RefusalReason.NO_UPSTREAM,
-                    "No upstream of the service is known.",
-                )
-            if self._find_next_send_seconds(request) > give_up_at_seconds:
-                raise self._make_refusal(
-                    RefusalReason.OVERLOADED,
-                    "All upstreams of the service are at their rate limits.",
-                )
-            now_seconds = self._clock.monotonic_seconds()
-            if now_seconds + PROBE_BATCH_INTERVAL_SECONDS >= give_up_at_seconds:
-                raise self._make_refusal(
-                    RefusalReason.OVERLOADED,
-                    "No upstream can take the request now.",
-                )
-            await anyio.sleep(PROBE_BATCH_INTERVAL_SECONDS)
+            line.next_attempt_at_seconds = self._find_next_attempt_seconds()
+        if request.requires_free_slot:
+            raise self._make_refusal(RefusalReason.OVERLOADED, "No upstream is free.")
+        with line.join(request.priority, give_up_at_seconds) as place:
+            while True:
+                self._check_prospects(request, line, give_up_at_seconds)
+                with anyio.move_on_after(self._measure_until(give_up_at_seconds)):
+                    await line.wait_for_turn(place)
+                    await anyio.sleep(self._measure_until(line.next_attempt_at_seconds))
+                self._check_prospects(request, line, give_up_at_seconds)
+                chosen = await self._probe_and_choose(request)
+                if chosen is not None:
+                    return chosen
+                line.next_attempt_at_seconds = self._find_next_attempt_seconds()
+
+    def _check_prospects(
+        self, request: PlacementRequest, line: WaitingLine, give_up_at_seconds: float
+    ) -> None:
+        """Raises :class:`RefusedError` if no upstream can be found in time."""
+        usable = self._table.find_usable(request.service.name)
+        if not usable:
+            raise self._make_refusal(
+                RefusalReason.NO_UPSTREAM,
+                "No upstream of the service is known.",
+            )
+        if self._find_next_send_seconds(request) > give_up_at_seconds:
+            raise self._make_refusal(
+                RefusalReason.OVERLOADED,
+                "All upstreams of the service are at their rate limits.",
+            )
+        attempt_at_seconds = max(
+            line.next_attempt_at_seconds, self._clock.monotonic_seconds()
+        )
+        if attempt_at_seconds >= give_up_at_seconds or (
+            not self._probe_allowance.allows_more(request.service.name, len(usable))
+        ):
+            raise self._make_refusal(
+                RefusalReason.OVERLOADED,
+                "No upstream can take the request now.",
+            )
+
+    def _find_next_attempt_seconds(self) -> float:
+        return self._clock.monotonic_seconds() + PROBE_BATCH_INTERVAL_SECONDS
+
+    def _measure_until(self, at_seconds: float) -> float:
+        return max(0.0, at_seconds - self._clock.monotonic_seconds())
 
     async def _probe_and_choose(self, request: PlacementRequest) -> ProbeResult | None:
         """Returns the cheapest upstream that may get the request, or None.
@@ -146,7 +181,9 @@
         try:
             await self._probe_more(request, batch, policy.first_candidates, 0)
             best = self._find_best(request, batch.results)
-            if best is None or best[0] > policy.good_cost:
+            if (best is None or best[0] > policy.good_cost) and self._may_probe_more(
+                request
+            ):
                 await self._probe_more(request, batch, policy.more_candidates, 2)
                 best = self._find_best(request, batch.results)
         except BaseException:
@@ -163,6 +200,10 @@
                 await self._prober.release(probe)
         return chosen
 
+    def _may_probe_more(self, request: PlacementRequest) -> bool:
+        usable = self._table.find_usable(request.service.name)
+        return self._probe_allowance.allows_more(request.service.name, len(usable))
+
     async def _probe_more(
         self,
         request: PlacementRequest,
@@ -175,10 +216,9 @@
         :param other_zone_count: upstreams among them to take from other availability
             zones.
         """
+        usable = self._table.find_usable(request.service.name)
         at_limit = {
-            state.name
-            for state in self._table.find_usable(request.service.name)
-            if not self._limit_shares.may_send(state)
+            state.name for state in usable if not self._limit_shares.may_send(state)
         }
         states = self._table.choose_candidates(
             request.service.name,
@@ -189,6 +229,9 @@
         )
         if not states:
             return
+        self._probe_allowance.record_probes(
+            request.service.name, len(usable), len(states)
+        )
         self._prober.start_probes(states, request.service.health_path, batch)
         with anyio.move_on_after(FIRST_READING_TIMEOUT_SECONDS):
             while batch.pending and not batch.results:
--- a/egrethall/entry/_request.py
+++ b/egrethall/entry/_request.py
@@ -68,6 +68,13 @@
         """Whether the request may run more than once."""
         return self.route.kind.repeatable
 
+    @property
+    def priority(self) -> int:
+        """Rank of the request, which an organisation's plan may set; 0 is highest."""
+        if self.organisation is None or self.organisation.priority is None:
+            return self.route.priority
+        return self.organisation.priority
+
     def build_placement_request(
         self, excluded: frozenset[str], *, requires_free_slot: bool = False
     ) -> PlacementRequest:
@@ -82,6 +89,7 @@
             objective_seconds=self.route.objective_seconds,
             deadline_at_seconds=self.deadline_at_seconds,
             excluded=excluded,
+            priority=self.priority,
             requires_free_slot=requires_free_slot,
         )
 
--- a/egrethall/entry/_settings.py
+++ b/egrethall/entry/_settings.py
@@ -19,6 +19,8 @@
 #: Upper bound of counts and ratios; larger values are taken for typing errors.
 MAX_NUMBER = 1e9
 
+DEFAULT_PROBES_PER_SECOND = 60.0
+
 _DURATION = re.compile(r"(\d+(?:\.\d+)?)(ms|s)")
 
 
@@ -38,6 +40,8 @@
     retry_slack_requests: float
     #: Time that the platform waits after SIGTERM before it sends SIGKILL.
     grace_seconds: float
+    #: Probes to one upstream per second, on average.
+    probes_per_second: float = DEFAULT_PROBES_PER_SECOND
 
 
 @dataclass(frozen=True)
@@ -120,6 +124,9 @@
             "retry_slack_requests", 0.0, MAX_NUMBER
         ),
         grace_seconds=_read_duration_seconds(bounds, "grace"),
+        probes_per_second=bounds.read_number(
+            "probes_per_second", 0.0, MAX_NUMBER, DEFAULT_PROBES_PER_SECOND
+        ),
     )
     bounds.finish()
     return result
--- a/egrethall/entry/tests/settings.feature
+++ b/egrethall/entry/tests/settings.feature
@@ -23,6 +23,7 @@
       | bounds.quota_excess       | "a quarter"   | $.bounds.quota_excess_ratio   |
       | bounds.retry_budget_ratio | 1.5           | $.bounds.retry_ratio          |
       | bounds.grace              | null          | $.bounds.grace                |
+      | bounds.probes_per_s       | -1            | $.bounds.probes_per_second    |
 
   Scenario: All faults are reported together
     When settings with 2 invalid values and an unknown key are parsed
--- a/egrethall/entry/tests/steps/placer_steps.py
+++ b/egrethall/entry/tests/steps/placer_steps.py
@@ -5,7 +5,12 @@
 
 from egrethall.entry._placer import PlacementRequest, Placer
 from egrethall.entry._prober import ProbeResult
-from egrethall.placement import ColdStartShares, RateLimitShares, UpstreamTable
+from egrethall.placement import (
+    ColdStartShares,
+    ProbeAllowance,
+    RateLimitShares,
+    UpstreamTable,
+)
 from egrethall.types import (
     PublishedService,
     RefusedError,
@@ -85,6 +90,7 @@
             prober,
             ColdStartShares("entry-0", clock),
             RateLimitShares("entry-0", "east", self, clock),
+            ProbeAllowance(60.0, lambda: 1, clock),
             self,
             clock,
             random.Random(3),
--- a/egrethall/entry/tests/steps/settings_steps.py
+++ b/egrethall/entry/tests/steps/settings_steps.py
@@ -29,6 +29,7 @@
         "retry_budget_ratio": 0.2,
         "retry_slack": 58,
         "grace": "6s",
+        "probes_per_s": 60,
     },
 }
 
--- a/egrethall/placement/__init__.py
+++ b/egrethall/placement/__init__.py
@@ -9,6 +9,7 @@
 )
 from egrethall.placement._crash_guard import CrashGuard
 from egrethall.placement._hedging import HedgePolicy
+from egrethall.placement._probe_allowance import ProbeAllowance
 from egrethall.placement._rate_limits import (
     PeerDirectory,
     PeerInstance,
@@ -21,6 +22,7 @@
     UpstreamTable,
 )
 from egrethall.placement._upstream_state import UpstreamState
+from egrethall.placement._waiting_line import WaitingLine, WaitingRequest
 
 __all__ = [
     "ColdStartShares",
@@ -31,11 +33,14 @@
     "OUTDATED_ENTRY_DELAY_SECONDS",
     "PeerDirectory",
     "PeerInstance",
+    "ProbeAllowance",
     "REPUBLISH_GRACE_SECONDS",
     "RateLimitShares",
     "CandidateLoad",
     "UpstreamState",
     "UpstreamTable",
+    "WaitingLine",
+    "WaitingRequest",
     "choose_service",
     "estimate_cost",
     "estimate_cross_zone_cost",
