--- a/egrethall/placement/_probe_allowance.py
+++ b/egrethall/placement/_probe_allowance.py
@@ -5,13 +5,14 @@
 
 from egrethall.types import Clock
 
-#: Share of the bound that instances use. The rest covers instances that do not know
-#: all others yet and so take too large a share.
-USED_RATIO = 0.7
-
-#: Time for which probes may exceed the rate after a calm period, and time that it takes
-#: to pay back probes that were sent beyond the rate.
-BURST_SECONDS = 3.0
+#: Share of the bound that instances use. The rest covers bursts, and instances that do
+#: not know all others yet and so take too large a share.
+USED_RATIO = 0.55
+
+#: Probes that an instance may save up, as the time in which its rate allows them, and
+#: likewise those that it may owe. Heavy load needs more probes than calm, and the bound
+#: is an average over 30 s or more.
+BURST_SECONDS = 20.0
 
 
 @dataclass
