Say in a refusal that the allowance of probes is used up

Cause: an operator could not tell a full service from a used-up allowance.

Change: the refusal has a detail of its own.

--- a/egrethall/entry/_placer.py
+++ b/egrethall/entry/_placer.py
@@ -162,13 +162,16 @@
         attempt_at_seconds = max(
             line.next_attempt_at_seconds, self._clock.monotonic_seconds()
         )
-        if attempt_at_seconds >= give_up_at_seconds or (
-            not self._probe_allowance.allows_more(request.service.name, len(usable))
-        ):
+        if attempt_at_seconds >= give_up_at_seconds:
             raise self._make_refusal(
                 RefusalReason.OVERLOADED,
                 "No upstream can take the request now.",
             )
+        if not self._probe_allowance.allows_more(request.service.name, len(usable)):
+            raise self._make_refusal(
+                RefusalReason.OVERLOADED,
+                "No upstream was free, and the allowance of probes is used up.",
+            )
 
     def _find_next_attempt_seconds(self) -> float:
         return self._clock.monotonic_seconds() + PROBE_BATCH_INTERVAL_SECONDS
