Play overload in simulated time

Cause: the plays slept in real time; at load 13 'Requests that are served are served in time' failed twice, as its upstreams were slower than planned.

Change: an event loop that jumps to the next timer; work varies by a factor of four, as neighbours make it, with an objective of 2.5 times the usual work, as on the sites. The bound of late requests stays at 20.

--- a/egrethall/entry/tests/overload.feature
+++ b/egrethall/entry/tests/overload.feature
@@ -1,7 +1,8 @@
 Feature: Requests that wait for an upstream of a full service
   Guards against less urgent requests that are served while more urgent ones of the same
   service are refused, and against probes whose number grows with the waiting requests.
-  Upstreams are simulated; no network is used.
+  Upstreams and time are simulated; no network is used. Work takes half, once or twice
+  the time that a scenario states.
 
   Background:
     Given 2 upstreams with 2 slots each that work for 50 ms on a request
@@ -14,9 +15,9 @@
 
   Scenario: Requests that are served are served in time
     Given 2 upstreams with 4 slots each that work for 50 ms on a request
-    And an objective of 90 ms
+    And an objective of 125 ms
     When 200 urgent and 200 other requests arrive evenly within 1 s
-    Then at least 120 requests are served within the objective
+    Then at least 140 requests are served within the objective
     And at most 20 requests are served later
 
   Scenario: Probes stay within what upstreams accept from the fleet
--- a/egrethall/entry/tests/steps/overload_steps.py
+++ b/egrethall/entry/tests/steps/overload_steps.py
@@ -7,6 +7,7 @@
 
 from egrethall.entry._placer import PlacementRequest, Placer
 from egrethall.entry._prober import ProbeResult
+from egrethall.entry.tests.virtual_time import LoopClock, run_in_virtual_time
 from egrethall.placement import (
     ColdStartShares,
     ProbeAllowance,
@@ -19,7 +20,6 @@
     PublishedService,
     RefusedError,
     RequestKind,
-    SystemClock,
     UpstreamEntry,
     UpstreamReading,
 )
@@ -49,6 +49,7 @@
 
     def __init__(self, count, slots, work_seconds):
         self.slots, self.work_seconds = slots, work_seconds
+        self.random = random.Random(13)
         self.occupied = Counter()
         self.limiters = {
             f"u-{number}": anyio.Semaphore(slots) for number in range(count)
@@ -78,7 +79,9 @@
 
     async def work(self, name):
         async with self.limiters[name]:
-            await anyio.sleep(self.work_seconds)
+            # Neighbours on the same machine let work take longer at times.
+            factor = self.random.choice((0.5, 0.5, 1.0, 2.0))
+            await anyio.sleep(self.work_seconds * factor)
         self.occupied[name] -= 1
 
 
@@ -100,7 +103,7 @@
         return []
 
     async def run(self, kinds, seconds):
-        self.clock = SystemClock()
+        self.clock = LoopClock()
         table = UpstreamTable(self.clock, random.Random(3))
         self.upstreams = SimulatedUpstreams(*self.shape)
         for name in self.upstreams.limiters:
@@ -177,7 +180,7 @@
 def step_impl(context, urgent, others, seconds):
     kinds = ["urgent"] * urgent + ["other"] * others
     random.Random(7).shuffle(kinds)
-    anyio.run(context.service.run, kinds, seconds)
+    run_in_virtual_time(context.service.run, kinds, seconds)
 
 
 @then("at least {count:d} urgent requests are served")
@@ -272,7 +275,7 @@
                 tasks.start_soon(wait, number, int(priority))
 
     context.turns = []
-    anyio.run(run)
+    run_in_virtual_time(run)
 
 
 @then(
