Keep arrival times of unread data only

Cause: found when the change was read again: the connection kept one arrival time for each part of a request's body until the next head was read, so that an upload in small parts held memory for each of them.

Change: they are dropped once everything that arrived has been parsed.

--- a/egrethall/http1/_server.py
+++ b/egrethall/http1/_server.py
@@ -222,6 +222,9 @@
                 raise RequestRejectedError(400, str(error)) from error
 
     def _buffer(self, data: bytes) -> None:
+        if not self._parser.trailing_data[0]:
+            # All of it was parsed, as while a long body arrives in small parts.
+            self._arrivals.clear()
         self._received_bytes += len(data)
         arrived_at_seconds = self._clock.monotonic_seconds()
         self._arrivals.append((self._received_bytes, arrived_at_seconds))
--- a/egrethall/http1/tests/server.feature
+++ b/egrethall/http1/tests/server.feature
@@ -28,3 +28,7 @@
     When the client sends GET /1/ HTTP/1.1\r\nhost: b\r\n\r\n
     Then the server reads GET b
     And it detects within 1 s that the client has disconnected
+
+  Scenario: Arrival times are kept for unread data only
+    When the client sends POST /a/ HTTP/1.1\r\nhost: b\r\ncontent-length: 30\r\n\r\n and its body byte by byte
+    Then the server keeps at most 2 arrival times
--- a/egrethall/http1/tests/steps/http1_steps.py
+++ b/egrethall/http1/tests/steps/http1_steps.py
@@ -221,6 +221,32 @@
     raise AssertionError("the connection was accepted")
 
 
+@when("the client sends {head} and its body byte by byte")
+def step_impl(context, head):
+    async def run():
+        server_socket, client_socket = socket.socketpair()
+        stream = await anyio.abc.SocketStream.from_socket(server_socket)
+        connection = ServerConnection(stream, MAX_HEADER_BYTES, SystemClock())
+        client_socket.sendall(decode_bytes(head))
+        await connection.wait_for_request()
+        await connection.receive_head()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(connection.receive_body, MAX_BODY_BYTES)
+            for _ in range(MAX_BODY_BYTES):
+                client_socket.sendall(b"x")
+                await anyio.wait_all_tasks_blocked()
+        context.arrival_count = len(connection._arrivals)
+        await connection.close()
+        client_socket.close()
+
+    anyio.run(run)
+
+
+@then("the server keeps at most {count:d} arrival times")
+def step_impl(context, count):
+    assert context.arrival_count <= count, context.arrival_count
+
+
 @when("the client sends {request}")
 def step_impl(context, request):
     context.exchange = ServerExchange(decode_bytes(request))
