Classify slow downloads by the upstream that responded

Cause: the scenario looked up where a download runs in the upstreams' records.

Change: stand-in upstreams name themselves in a header of their responses, and the scenario uses the upstream of the response that the caller gets. The checks on silent and slow downloads are the same, and every download is now classified.

--- a/egrethall/daemon/tests/request_calls.py
+++ b/egrethall/daemon/tests/request_calls.py
@@ -106,23 +106,34 @@
 
 
 def run_calls(
-    calls: Iterable[Call], actions: Sequence[Action] = (), http2: bool = False
+    calls: Iterable[Call],
+    actions: Sequence[Action] = (),
+    http2: bool = False,
+    arriving: dict[str, Received] | None = None,
 ) -> list[Answer]:
-    """Sends calls and does actions at their times; returns the answers in order."""
+    """Sends calls and does actions at their times; returns the answers in order.
+
+    :param arriving: receives the answers while they arrive, by the call's echo.
+    """
     client = _open_http2_client if http2 else _open_http1_client
-    return asyncio.run(_run_calls(list(calls), actions, client))
+    arriving = {} if arriving is None else arriving
+    return asyncio.run(_run_calls(list(calls), actions, client, arriving))
 
 
 async def _run_calls(
     calls: list[Call],
     actions: Sequence[Action],
     open_client: Callable[[], AbstractAsyncContextManager[Send]],
+    arriving: dict[str, Received],
 ) -> list[Answer]:
     async with open_client() as send:
         start = time.monotonic()
         async with asyncio.TaskGroup() as tasks:
             doing = [tasks.create_task(_act(action, start)) for action in actions]
-            sent = [tasks.create_task(_send(send, call, start)) for call in calls]
+            sent = []
+            for call in calls:
+                received = arriving[call.echo] = Received()
+                sent.append(tasks.create_task(_send(send, call, received, start)))
         for task in doing:
             task.result()
         return [task.result() for task in sent]
@@ -194,10 +205,10 @@
     await asyncio.to_thread(action.do)
 
 
-async def _send(send: Send, call: Call, start: float) -> Answer:
+async def _send(send: Send, call: Call, received: Received, start: float) -> Answer:
     await asyncio.sleep(max(0.0, start + call.at_seconds - time.monotonic()))
     sent = time.monotonic() - start
-    received, fault = Received(), ""
+    fault = ""
     try:
         await send(call, received)
     except (httpx.HTTPError, aiohttp.ClientError, TimeoutError, OSError) as error:
--- a/egrethall/daemon/tests/request_fleet.py
+++ b/egrethall/daemon/tests/request_fleet.py
@@ -13,6 +13,7 @@
     Action,
     Answer,
     Call,
+    Received,
     RunLedger,
     run_calls,
 )
@@ -176,11 +177,15 @@
         ]
 
     def run(
-        self, calls: Iterable[Call], actions: Sequence[Action] = (), http2: bool = False
+        self,
+        calls: Iterable[Call],
+        actions: Sequence[Action] = (),
+        http2: bool = False,
+        arriving: dict[str, Received] | None = None,
     ) -> list[Answer]:
         """Sends calls and does actions, and measures the machine's noise meanwhile."""
         with self.measure_noise():
-            return run_calls(calls, actions, http2)
+            return run_calls(calls, actions, http2, arriving)
 
     @contextmanager
     def measure_noise(self) -> Iterator[None]:
--- a/egrethall/daemon/tests/steps/request_answers_steps.py
+++ b/egrethall/daemon/tests/steps/request_answers_steps.py
@@ -13,6 +13,7 @@
 from egrethall.daemon.tests.request_calls import Action
 from egrethall.daemon.tests.request_fleet import FleetPlan, ServicePlan, share_fleet
 from egrethall.daemon.tests.request_framing import INNER_PATH, build_request
+from standins.upstream import UPSTREAM_HEADER
 
 ARCHIVE = ServicePlan(
     "archive",
@@ -42,6 +43,11 @@
 MARGIN_SECONDS = 1.5
 
 
+def find_upstream(answer):
+    """Returns the name of the upstream that an answer is from; None without one."""
+    return answer.headers.get(UPSTREAM_HEADER)
+
+
 class AnswersSubject:
     """Callers that read answers."""
 
@@ -100,26 +106,24 @@
         self.expected = size
         self.fleet.links.set_faults("*", bytes_per_second=SLOW_BYTES_PER_SECOND)
         self.silenced_at = 1.0
-        self.downloads = calls
-        self.run(calls, [Action(self.silenced_at, self.silence_one_download)])
-        at = self.find_upstreams(self.fleet.assert_truthful([]))
+        self.arriving = {}
+        self.answers = self.fleet.run(
+            calls,
+            [Action(self.silenced_at, self.silence_one_download)],
+            arriving=self.arriving,
+        )
+        self.fleet.assert_truthful([])
         self.silent = [
-            item for item in self.answers if at[item.call.echo] == self.silenced
+            item for item in self.answers if find_upstream(item) == self.silenced
         ]
         self.slow = [item for item in self.answers if item not in self.silent]
 
     def silence_one_download(self):
-        at = self.find_upstreams(self.fleet.read_ledger())
-        self.silenced = next(name for name in at.values() if name)
-        self.silence(self.silenced)
-
-    def find_upstreams(self, ledger):
-        """Returns where each download runs; None if it was hedged or has not begun."""
-        runs = {call.echo: ledger.find_runs(call.echo) for call in self.downloads}
-        return {
-            echo: found[0]["upstream"] if len(found) == 1 else None
-            for echo, found in runs.items()
-        }
+        # A hedged download runs at two upstreams, of which one responds to the caller.
+        upstreams = {find_upstream(answer) for answer in self.arriving.values()}
+        self.silenced = min(upstreams - {None}, default=None)
+        if self.silenced is not None:
+            self.silence(self.silenced)
 
     def silence(self, name):
         # Only the connections of this moment; new ones work.
@@ -380,7 +384,7 @@
 @then("the silent downloads break off after {seconds:d} s")
 def step_impl(context, seconds):
     subject = context.subject
-    assert subject.silent
+    assert subject.silent, "no response had begun when an upstream was to go silent"
     for answer in subject.silent:
         waited = answer.ended_seconds - subject.silenced_at
         assert answer.broken, str(answer)
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -30,6 +30,9 @@
 BASE64_TOKEN = re.compile(rb"[A-Za-z0-9+/]{75,}")
 CHUNK_BYTES = 64 * 1024
 
+#: Header field by which tests learn the upstream that an answer is from.
+UPSTREAM_HEADER = "x-upstream"
+
 #: Length of one period of a noisy neighbour.
 NOISE_PERIOD_SECONDS = 0.005
 
@@ -153,11 +156,13 @@
         }
 
     def build_headers(self) -> dict[str, str]:
-        """Returns the headers of every answer."""
+        """Returns the headers of every answer; the upstream's name is for tests."""
+        headers = {UPSTREAM_HEADER: self.options.name}
         if self.options.silent_load:
-            return {}
+            return headers
         fields = self.describe_load().items()
-        return {"load-report": ";".join(f"{name}={value}" for name, value in fields)}
+        load_report = ";".join(f"{name}={value}" for name, value in fields)
+        return {**headers, "load-report": load_report}
 
     async def answer_probe(self, _request: web.Request) -> web.Response:
         """Answers ``GET /load``."""
