Count all usage of a restarted fleet at one collector

Restarted instances know few others for some two seconds, so that they select dozens of collectors, each of which grants a whole allowance; each admits one or two requests in every round whatever is left; and what they admit before their first report is never charged.

Change: an instance that gets a report forwards it to a collector of higher weight that it knows. A replacement process reports to a seed in its first two seconds, every 0.1 s, since seeds know of all others first. Until it has an answer it admits one request of an organisation. A collector charges what no collector has counted yet, and a new one counts the instances that have not reported with the average demand. While the bucket is overdrawn a share below one request is rounded at random. A replacement begins with a larger debt and earns from its start, not from its first configuration. Datagrams have format 6; instances of both formats ignore each other's heartbeats.

--- a/egrethall/entry/_peer_links.py
+++ b/egrethall/entry/_peer_links.py
@@ -1,6 +1,7 @@
 """Exchange of heartbeats, usage reports and records with the other instances."""
 
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 
 import anyio
 import structlog
@@ -93,7 +94,18 @@
         known, silent = self._members.find_names(), self._members.find_silent()
         self._elect_readers(silent)
         self._log_silent_changes(known, silent)
-        self._allowances.begin_round(known, silent, self._members.cycle_seconds)
+        self._allowances.begin_round(
+            known, silent, self._members.cycle_seconds, self._members.find_seeds()
+        )
+
+    @property
+    def joining(self) -> bool:
+        """Whether the process replaces another one and learns of the others."""
+        return self._allowances.joining
+
+    def begin_joining_step(self) -> None:
+        """Updates the instances to which a joining process reports."""
+        self._allowances.set_seeds(self._members.find_seeds())
 
     def _elect_readers(self, silent: frozenset[str]) -> None:
         zone = self._settings.availability_zone
@@ -155,6 +167,7 @@
             members=self._members.choose_members(max_named),
             sequence=self._sequence,
             known_count=self._members.fleet_size - 1,
+            settled=not self.joining,
         )
 
     def compose_reports(self) -> Mapping[str, UsageReports]:
@@ -171,17 +184,32 @@
                 self._settings.peer_address,
                 self._sequence,
                 usage,
+                collector,
+                self._allowances.excluded_collectors,
             )
         return reports
 
+    def find_forwards(self, reports: UsageReports) -> Mapping[str, UsageReports]:
+        """Returns the reports that have another collector, by its address."""
+        forwards: dict[str, UsageReports] = {}
+        for collector, usage in self._allowances.find_forwards(reports).items():
+            address = self._members.find_address(collector)
+            if address is not None:
+                forwards[address] = replace(reports, usage=usage)
+        return forwards
+
     def receive_reports(self, reports: UsageReports) -> CollectorAnswer:
         """Charges a peer's usage reports; returns their organisations' token levels."""
         return CollectorAnswer(
-            self._settings.name, self._allowances.charge_reports(reports)
+            self._settings.name,
+            self._allowances.charge_reports(reports),
+            self._settings.peer_address,
+            reports.recipient,
         )
 
     def receive_answer(self, answer: CollectorAnswer) -> None:
         """Applies the answer of a collector."""
+        self._members.add_named(answer.name, answer.address)
         self._allowances.adopt_levels(answer)
 
     def receive_heartbeat(self, heartbeat: Heartbeat) -> None:
--- a/egrethall/fleet/__init__.py
+++ b/egrethall/fleet/__init__.py
@@ -1,6 +1,7 @@
 """Fleet membership from a few seeds, and the exchange of usage and records."""
 
 from egrethall.fleet._gossip import (
+    JOINING_INTERVAL_SECONDS,
     ROUND_SECONDS,
     FleetExchange,
     FleetParticipant,
@@ -39,6 +40,7 @@
     "FleetParticipant",
     "FleetSocketError",
     "Heartbeat",
+    "JOINING_INTERVAL_SECONDS",
     "MAX_SINGLE_ROUND_RECIPIENTS",
     "MEMBERS_PER_HEARTBEAT",
     "MEMBERS_PER_JOIN_ANSWER",
--- a/egrethall/fleet/_gossip.py
+++ b/egrethall/fleet/_gossip.py
@@ -30,6 +30,10 @@
 #: the demand of one round, which must fit into the excess that an allowance tolerates.
 ROUND_SECONDS = 0.5
 
+#: Interval at which a replacement process contacts seeds that did not answer yet, and
+#: reports its usage, so that it learns within one round what the fleet has admitted.
+JOINING_INTERVAL_SECONDS = 0.1
+
 #: Time after which an announcement of changed records is repeated.
 ANNOUNCE_AGAIN_SECONDS = 0.15
 
@@ -43,10 +47,19 @@
 class FleetParticipant(Protocol):
     """Composes the messages that an instance sends and handles those it receives."""
 
+    @property
+    def joining(self) -> bool:
+        """Whether the process replaces another one and learns of the others."""
+        ...
+
     def begin_round(self) -> None:
         """Prepares for a round; called before each one."""
         ...
 
+    def begin_joining_step(self) -> None:
+        """Prepares for a step between two rounds while the process is joining."""
+        ...
+
     def compose_heartbeat(self, max_named: int) -> Heartbeat:
         """Returns the next heartbeat, naming up to ``max_named`` other instances."""
         ...
@@ -59,6 +72,10 @@
         """Handles the heartbeat of another instance."""
         ...
 
+    def find_forwards(self, reports: UsageReports) -> Mapping[str, UsageReports]:
+        """Returns the reports that have another collector, by its address."""
+        ...
+
     def receive_reports(self, reports: UsageReports) -> CollectorAnswer:
         """Handles reports as their collector; returns the answer to them."""
         ...
@@ -99,6 +116,7 @@
             async with udp, anyio.create_task_group() as tasks:
                 tasks.start_soon(self._listen, udp, sender)
                 tasks.start_soon(self._announce, sender)
+                tasks.start_soon(self._join, sender)
                 while True:
                     self._send_round(sender)
                     await anyio.sleep(ROUND_SECONDS)
@@ -126,9 +144,24 @@
             )
         for address in recipients:
             _send(sender, datagram, address)
+        self._send_reports(sender)
+
+    def _send_reports(self, sender: socket.socket) -> None:
         for address, reports in self._participant.compose_reports().items():
             _send(sender, encode_message(reports), address)
 
+    async def _join(self, sender: socket.socket) -> None:
+        while self._participant.joining:
+            await anyio.sleep(JOINING_INTERVAL_SECONDS)
+            self._participant.begin_joining_step()
+            seeds = self._members.find_unconfirmed_seeds()
+            if seeds:
+                heartbeat = self._participant.compose_heartbeat(MEMBERS_PER_HEARTBEAT)
+                datagram = encode_message(heartbeat)
+                for address in seeds:
+                    _send(sender, datagram, address)
+            self._send_reports(sender)
+
     async def _announce(self, sender: socket.socket) -> None:
         while True:
             await self._records_changed.wait()
@@ -162,13 +195,27 @@
                     logger.warning("malformed message dropped", error=str(error))
                 continue
             if isinstance(message, UsageReports):
-                levels = self._participant.receive_reports(message)
-                _send(sender, encode_message(levels), message.address)
+                self._receive_reports(message, sender)
             elif isinstance(message, CollectorAnswer):
                 self._participant.receive_answer(message)
             else:
                 self._receive_heartbeat(message, sender)
 
+    def _receive_reports(self, reports: UsageReports, sender: socket.socket) -> None:
+        usage = dict(reports.usage)
+        forwards = self._participant.find_forwards(reports)
+        for address, forwarded in forwards.items():
+            if address != reports.address:
+                _send(sender, encode_message(forwarded), address)
+            for organisation in forwarded.usage:
+                del usage[organisation]
+        if not usage and reports.address not in forwards:
+            return
+        # An answer without levels to an organisation's collector confirms that the
+        # report has arrived.
+        answer = self._participant.receive_reports(replace(reports, usage=usage))
+        _send(sender, encode_message(answer), reports.address)
+
     def _receive_heartbeat(self, heartbeat: Heartbeat, sender: socket.socket) -> None:
         if self._members.observe(heartbeat):
             logger.info(
--- a/egrethall/fleet/_members.py
+++ b/egrethall/fleet/_members.py
@@ -101,7 +101,7 @@
         if heartbeat.name == self._own_name:
             return False
         for name, address in heartbeat.members:
-            self._add_named(name, address)
+            self.add_named(name, address)
         if heartbeat.leaving:
             self._remove(heartbeat.name)
             return False
@@ -119,6 +119,14 @@
         member.confirmed = True
         return is_new
 
+    def add_named(self, name: str, address: str) -> None:
+        """Adds an instance that another one has named, unless it is known."""
+        if name == self._own_name or name in self._members:
+            return
+        self._add(
+            Member(name, address, last_seen_at_seconds=self._clock.monotonic_seconds())
+        )
+
     def remove_expired(self) -> None:
         """Removes the instances without a heartbeat for :data:`EXPIRY_SECONDS`.
 
@@ -138,8 +146,6 @@
 
     def choose_recipients(self) -> list[str]:
         """Returns the addresses to which the next round sends heartbeats."""
-        known = {member.address for member in self._members.values()}
-        unknown_seeds = [seed for seed in self._seeds if seed not in known]
         names = set(self._members)
         if len(names) > MAX_SINGLE_ROUND_RECIPIENTS:
             names = set(self._take_from_cycle(RECIPIENTS_PER_ROUND))
@@ -147,7 +153,8 @@
             count = min(FIRST_CONTACTS_PER_ROUND, len(unsent))
             names.update(self._random.sample(unsent, count))
         self._unsent -= names
-        return [self._members[name].address for name in names] + unknown_seeds
+        addresses = [self._members[name].address for name in names]
+        return addresses + self.find_unconfirmed_seeds()
 
     def record_sent(self, name: str) -> None:
         """Records that a heartbeat was sent to an instance outside of the rounds."""
@@ -248,6 +255,19 @@
         is_introduced = heartbeat.known_count >= INTRODUCED_RATIO * len(self._members)
         return 0 if is_introduced else MEMBERS_PER_JOIN_ANSWER
 
+    def find_seeds(self) -> frozenset[str]:
+        """Returns the names of the known instances at the addresses of the seeds."""
+        return frozenset(
+            member.name
+            for member in self._members.values()
+            if member.confirmed and member.address in self._seeds
+        )
+
+    def find_unconfirmed_seeds(self) -> list[str]:
+        """Returns the addresses of the seeds from which no heartbeat has arrived."""
+        confirmed = {member.address for member in self.find_confirmed()}
+        return [seed for seed in self._seeds if seed not in confirmed]
+
     def find_address(self, name: str) -> str | None:
         """Returns the address of an instance, or None if it is not known."""
         member = self._members.get(name)
@@ -271,13 +291,6 @@
         """Number of known instances, this one and silent ones included."""
         return 1 + len(self._members)
 
-    def _add_named(self, name: str, address: str) -> None:
-        if name == self._own_name or name in self._members:
-            return
-        self._add(
-            Member(name, address, last_seen_at_seconds=self._clock.monotonic_seconds())
-        )
-
     def _add(self, member: Member) -> None:
         self._members[member.name] = member
         self._unsent.add(member.name)
--- a/egrethall/fleet/_messages.py
+++ b/egrethall/fleet/_messages.py
@@ -11,7 +11,7 @@
 from egrethall.types import EgrethallError
 
 #: Version of the datagram format; datagrams of another version are dropped.
-FORMAT_VERSION = 5
+FORMAT_VERSION = 6
 
 
 #: Message kinds, as encoded in a datagram.
@@ -37,6 +37,8 @@
     #: Number of times that the count of admitted requests was reset because the
     #: organisation had been idle for long.
     period: int = 0
+    #: How many of the admitted requests a collector has counted.
+    counted: int = 0
 
 
 @dataclass(frozen=True)
@@ -50,6 +52,11 @@
     #: Number of this message among the heartbeats and reports of the run.
     sequence: int
     usage: Mapping[str, OrganisationUsage]
+    #: Name of the instance to which the sender addressed it. That one forwards it if it
+    #: knows the organisation's collector and the sender does not.
+    recipient: str = ""
+    #: Names of the collectors that the sender excludes, since they do not answer.
+    excluded: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -74,6 +81,10 @@
     #: Name of the collector.
     name: str
     levels: Mapping[str, FleetLevel]
+    #: Address of the collector, which the recipient may not know yet.
+    address: str = ""
+    #: Name of the instance to which the reports were addressed.
+    recipient: str = ""
 
 
 @dataclass(frozen=True)
@@ -108,6 +119,8 @@
     #: True if the recipient is to read newer records at once and to announce them to
     #: its availability zone.
     relay_requested: bool = False
+    #: False while a replacement process only learns of the others and of their usage.
+    settled: bool = True
 
 
 Message = Heartbeat | UsageReports | CollectorAnswer
@@ -156,13 +169,14 @@
         heartbeat.known_count,
         heartbeat.polls_store,
         heartbeat.relay_requested,
+        heartbeat.settled,
     )
 
 
 def _decode_heartbeat(fields: Sequence[Any]) -> Heartbeat:
     name, run, address, zone, leaving, revision, *rest = fields
     reads_store, since_outage_seconds, usage, crashes, members, *rest = rest
-    sequence, known_count, polls_store, relay_requested = rest
+    sequence, known_count, polls_store, relay_requested, settled = rest
     return Heartbeat(
         name=str(name),
         run=int(run),
@@ -181,6 +195,7 @@
         sequence=int(sequence),
         known_count=int(known_count),
         relay_requested=bool(relay_requested),
+        settled=bool(settled),
     )
 
 
@@ -192,17 +207,21 @@
         reports.address,
         reports.sequence,
         _encode_usages(reports.usage),
+        reports.recipient,
+        reports.excluded,
     )
 
 
 def _decode_reports(fields: Sequence[Any]) -> UsageReports:
-    name, run, address, sequence, usage = fields
+    name, run, address, sequence, usage, recipient, excluded = fields
     return UsageReports(
         str(name),
         int(run),
         _check_address(address),
         int(sequence),
         _decode_usages(usage),
+        str(recipient),
+        tuple(str(name) for name in excluded),
     )
 
 
@@ -219,11 +238,13 @@
             )
             for organisation, level in answer.levels.items()
         },
+        answer.address,
+        answer.recipient,
     )
 
 
 def _decode_answer(fields: Sequence[Any]) -> CollectorAnswer:
-    name, levels = fields
+    name, levels, address, recipient = fields
     return CollectorAnswer(
         str(name),
         {
@@ -232,6 +253,8 @@
             )
             for organisation, (level, tenths, admitted, period) in levels.items()
         },
+        _check_address(address),
+        str(recipient),
     )
 
 
@@ -249,6 +272,7 @@
             round(usage.demand_per_second * 10),
             round(usage.level),
             usage.period,
+            usage.counted,
         )
         for organisation, usage in usages.items()
     }
@@ -257,9 +281,9 @@
 def _decode_usages(usages: Mapping[Any, Sequence[Any]]) -> dict[str, OrganisationUsage]:
     return {
         str(organisation): OrganisationUsage(
-            int(admitted), int(tenths) / 10, float(level), int(period)
+            int(admitted), int(tenths) / 10, float(level), int(period), int(counted)
         )
-        for organisation, (admitted, tenths, level, period) in usages.items()
+        for organisation, (admitted, tenths, level, period, counted) in usages.items()
     }
 
 
--- a/egrethall/fleet/tests/members.feature
+++ b/egrethall/fleet/tests/members.feature
@@ -102,6 +102,12 @@
     When one of them sends reports to the other
     Then the sender receives the answer within 2 s
 
+  Scenario: Reports that reach another instance are forwarded to the collector
+    Given two fleet exchanges on loopback
+    And a third one that forwards reports to their collector
+    When one of them sends reports to the other
+    Then the sender receives the answer within 2 s
+
   Scenario Outline: Records are read from the own availability zone first
     Given an instance of zone east with records up to revision <own>
     When an instance of <zone> announces revision 9, <seconds> s after the first newer revision
--- a/egrethall/fleet/tests/steps/member_steps.py
+++ b/egrethall/fleet/tests/steps/member_steps.py
@@ -197,12 +197,19 @@
         sequence=9,
         known_count=300,
         relay_requested=True,
+        settled=False,
     ),
     "a report to a collector": UsageReports(
-        "entry-1", 7, "10.0.0.1:80", 9, {"cuka": OrganisationUsage(12, 3.5, -4.0, 3)}
+        "entry-1",
+        7,
+        "10.0.0.1:80",
+        9,
+        {"cuka": OrganisationUsage(12, 3.5, -4.0, 3, 7)},
+        "entry-3",
+        ("entry-4",),
     ),
     "a collector's answer": CollectorAnswer(
-        "entry-2", {"cuka": FleetLevel(-4.0, 3.5, 12, 3)}
+        "entry-2", {"cuka": FleetLevel(-4.0, 3.5, 12, 3)}, "10.0.0.2:80", "entry-3"
     ),
 }
 
@@ -290,12 +297,24 @@
         self.name = name
         self.address = address
         self.collector = collector
+        #: Address to which it forwards all reports; None if it is the collector.
+        self.forward_address = None
         self.answers = []
         self.answered = anyio.Event()
 
+    @property
+    def joining(self):
+        return False
+
     def begin_round(self):
         """Does nothing before a round."""
 
+    def begin_joining_step(self):
+        """Does nothing before a step."""
+
+    def find_forwards(self, reports):
+        return {self.forward_address: reports} if self.forward_address else {}
+
     def compose_heartbeat(self, max_named):
         return Heartbeat(self.name, 1, self.address, "east", False, 0)
 
@@ -310,7 +329,9 @@
 
     def receive_reports(self, reports):
         admitted = reports.usage["cuka"].admitted
-        return CollectorAnswer(self.name, {"cuka": FleetLevel(7.0, 1.5, admitted, 0)})
+        return CollectorAnswer(
+            self.name, {"cuka": FleetLevel(7.0, 1.5, admitted, 0)}, self.address
+        )
 
     def receive_answer(self, answer):
         self.answers.append(answer)
@@ -348,31 +369,39 @@
 
 @given("two fleet exchanges on loopback")
 def step_impl(context):
-    context.collector_exchange, collector = make_exchange(
-        context, "entry-2", "127.0.0.1"
-    )
-    context.exchange, context.participant = make_exchange(
-        context, "entry-1", "127.0.0.1", collector=collector.address
+    collecting, context.collector = make_exchange(context, "entry-2", "127.0.0.1")
+    reporting, context.participant = make_exchange(
+        context, "entry-1", "127.0.0.1", collector=context.collector.address
     )
+    context.exchanges = [collecting, reporting]
+
+
+@given("a third one that forwards reports to their collector")
+def step_impl(context):
+    forwarding, forwarder = make_exchange(context, "entry-3", "127.0.0.1")
+    forwarder.forward_address = context.collector.address
+    context.participant.collector = forwarder.address
+    context.exchanges.append(forwarding)
 
 
 @when("one of them sends reports to the other")
 def step_impl(context):
-    """Both run in the next step, which waits for the answer."""
+    """All run in the next step, which waits for the answer."""
 
 
 @then("the sender receives the answer within {seconds:d} s")
 def step_impl(context, seconds):
     async def run():
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(context.collector_exchange.run)
-            tasks.start_soon(context.exchange.run)
+            for exchange in context.exchanges:
+                tasks.start_soon(exchange.run)
             with anyio.fail_after(seconds):
                 await context.participant.answered.wait()
             tasks.cancel_scope.cancel()
 
     anyio.run(run)
-    answer = CollectorAnswer("entry-2", {"cuka": FleetLevel(7.0, 1.5, 3, 0)})
+    levels = {"cuka": FleetLevel(7.0, 1.5, 3, 0)}
+    answer = CollectorAnswer("entry-2", levels, context.collector.address)
     assert context.participant.answers[0] == answer, context.participant.answers
 
 
--- a/egrethall/quota/_allowance.py
+++ b/egrethall/quota/_allowance.py
@@ -12,15 +12,23 @@
 #: requests that other instances have admitted but not reported to this one yet.
 OVERDRAFT_RATIO = 0.3
 
+#: Part of the tolerated excess by which the bucket of a replacement process begins
+#: overdrawn. If a whole fleet is restarted nobody knows what was admitted before, which
+#: may have been more than rate and burst.
+INITIAL_DEBT_RATIO = 0.6
+
 #: Time over which the demand is averaged. When an organisation's traffic rises
 #: suddenly, the shares adapt within about two rounds of heartbeats.
 DEMAND_AVERAGING_SECONDS = 1.0
 
 #: Requests that an instance may admit between two heartbeats however small its share,
 #: so that an organisation with a few requests a second is not refused when they arrive
-#: in bursts. The second value applies while the bucket is overdrawn.
+#: in bursts. It does not apply while the bucket is overdrawn.
 MIN_REQUESTS_PER_ROUND = 2
-MIN_REQUESTS_PER_ROUND_OVERDRAWN = 1
+
+#: Requests that a replacement process may admit before it has learned from others how
+#: many tokens are left. Every instance of a fleet that is restarted may do so.
+MAX_REQUESTS_UNSYNCHRONIZED = 1
 
 #: Demand above which an instance reports to the collector in each round. A single
 #: request is reported twice, since datagrams get lost.
@@ -64,6 +72,7 @@
     :param full: True to start with a full bucket. A process that replaces another
         starts with an overdrawn bucket, because what the other one admitted still
         counts, and adopts the first level that another instance reports.
+    :param now_seconds: clock reading at which the process started.
     """
 
     def __init__(
@@ -81,7 +90,10 @@
         self._overdraft_limit = OVERDRAFT_RATIO * excess.compute_requests(
             rate_per_second, burst
         )
-        self._level = burst if full else -self._overdraft_limit
+        self._level = burst
+        if not full:
+            excess_requests = excess.compute_requests(rate_per_second, burst)
+            self._level = -INITIAL_DEBT_RATIO * excess_requests
         self._now_seconds = now_seconds
         self._admitted = 0
         self._period = 0
@@ -93,11 +105,16 @@
         self._idle_timeout_seconds = 0.0
         #: Tokens of this round, of which this instance may admit its share.
         self._round_tokens = self._level + self._overdraft_limit
+        self._rounding = 0.0
         self._demand_per_second = 0.0
         self._smoothed_demand = SmoothedDemand()
         self._peers: dict[str, PeerUsage] = {}
         #: False until a replacement process has adopted a level.
         self._has_level = full
+        #: False until that level rests on the reports of other instances.
+        self._is_synchronized = full
+        #: Own requests that a collector has counted in this period.
+        self._counted = 0
         #: Part of the allowance that is reserved for silent instances.
         self._reserved_share = 0.0
         #: Clock reading of the last report to this instance as the collector.
@@ -128,7 +145,11 @@
         # whole limit.
         level = self._tokens - self._overdraft_limit
         return OrganisationUsage(
-            self._admitted, self._demand_per_second, level, self._period
+            self._admitted,
+            self._demand_per_second,
+            level,
+            self._period,
+            self._counted,
         )
 
     @property
@@ -150,24 +171,35 @@
         )
         self._level = min(self._level, burst)
 
-    def try_admit(self, now_seconds: float) -> bool:
-        """Takes a token for one request; returns False if there is none."""
+    def try_admit(self, now_seconds: float, *, joining: bool = False) -> bool:
+        """Takes a token for one request; returns False if there is none.
+
+        :param joining: True while a replacement process learns of the others. Without
+            their reports it cannot know its share of the tokens.
+        """
         self._advance(now_seconds)
         self._demand_per_second += 1.0 / DEMAND_AVERAGING_SECONDS
         if self.unlimited:
             self._count_admitted()
             return True
-        min_limit = (
-            MIN_REQUESTS_PER_ROUND
-            if self._level > 0
-            else MIN_REQUESTS_PER_ROUND_OVERDRAWN
-        )
-        limit = max(min_limit, self._round_tokens * self._compute_own_share())
+        if joining and not self._is_synchronized:
+            return self._admit_unsynchronized()
+        limit = self._round_tokens * self._compute_own_share()
+        if self._level > 0 and not joining:
+            limit = max(limit, MIN_REQUESTS_PER_ROUND)
+        elif limit < 1.0:
+            limit += self._rounding
         if self._tokens <= 0 or self._admitted_in_round + 1 > limit:
             return False
         self._count_admitted()
         return True
 
+    def _admit_unsynchronized(self) -> bool:
+        if self._tokens <= 0 or self._admitted >= MAX_REQUESTS_UNSYNCHRONIZED:
+            return False
+        self._count_admitted()
+        return True
+
     def estimate_wait_seconds(self) -> float:
         """Returns the time after which a token is probably available."""
         missing = max(0.0, 1.0 - self._tokens)
@@ -175,13 +207,20 @@
         return missing / rate_per_second if rate_per_second > 0 else 0.0
 
     def begin_round(
-        self, now_seconds: float, silent: frozenset[str], idle_timeout_seconds: float
+        self,
+        now_seconds: float,
+        silent: frozenset[str],
+        idle_timeout_seconds: float,
+        rounding: float = 0.0,
     ) -> None:
         """Starts the round of the next heartbeat.
 
         :param silent: names of the instances whose heartbeats are overdue.
         :param idle_timeout_seconds: time without a request after which the organisation
             is left out of heartbeats and its count of admitted requests restarts at 0.
+        :param rounding: random number from 0 to 1. While the bucket is overdrawn, a
+            share of less than one request is rounded up in as many rounds as it makes
+            up of one, so that the shares of a large fleet do not exceed what is left.
         """
         self._advance(now_seconds)
         self._idle_timeout_seconds = idle_timeout_seconds
@@ -190,20 +229,25 @@
             and now_seconds - self._last_admitted_at_seconds > idle_timeout_seconds
         ):
             self._admitted = 0
+            self._counted = 0
             self._period += 1
         self._smoothed_demand.add(self._demand_per_second)
         self._reserve_shares(silent)
         self._shrink_old_reservations()
         self._admitted_in_round = 0
         self._round_tokens = max(0.0, self._tokens)
+        self._rounding = rounding
 
-    def charge_report(self, report: UsageReport, *, is_known_run: bool) -> None:
+    def charge_report(
+        self, report: UsageReport, *, is_known_run: bool, synchronizes: bool = False
+    ) -> None:
         """Charges what another instance has admitted since its last report.
 
         A report that is older than the last one received changes nothing.
 
         :param is_known_run: True if an earlier message of this run was received. An
             organisation that it did not list had no admitted requests at that time.
+        :param synchronizes: True if the level in the report is that of the fleet.
         """
         run, usage = report.run, report.usage
         previous = self._peers.get(report.name)
@@ -224,14 +268,18 @@
         if previous is not None:
             peer.smoothed_demand = previous.smoothed_demand
         peer.smoothed_demand.add(usage.demand_per_second)
-        if not self._has_level:
+        is_adopted = not self._has_level
+        if is_adopted:
             self._has_level = True
             self._level = max(self._level, min(usage.level, self._burst))
+        self._is_synchronized = self._is_synchronized or synchronizes
         if previous is not None:
             self._release_reservation(previous, used_up=previous.run != run)
         self._peers[report.name] = peer
-        # What a newly discovered run admitted before is included in the adopted level.
-        already_charged = 0 if is_known_run else usage.admitted
+        # What a newly discovered run admitted before is included in the adopted level,
+        # unless none of the others knew the run.
+        is_included = is_adopted or (not is_known_run and report.settled)
+        already_charged = usage.admitted if is_included else 0
         if previous is not None and (previous.run, previous.period) == (
             run,
             usage.period,
@@ -263,14 +311,23 @@
         peer.smoothed_demand.add(0.0)
         return peer.smoothed_demand.per_second < NEGLIGIBLE_DEMAND_PER_SECOND
 
-    def collect(self, report: UsageReport, *, is_known_run: bool) -> FleetLevel:
-        """Charges a report to this instance as the collector; returns the answer."""
+    def collect(
+        self, report: UsageReport, *, is_known_run: bool, fleet_size: int = 0
+    ) -> FleetLevel:
+        """Charges a report to this instance as the collector; returns the answer.
+
+        :param fleet_size: number of instances that may report while this one is new;
+            those that have not yet count with the average demand. 0 if all have.
+        """
         self._collected_at_seconds = self._now_seconds
         self.charge_report(report, is_known_run=is_known_run)
         usage = report.usage
+        if not is_known_run:
+            # No collector has counted these, so that no adopted level includes them.
+            self._charge(usage.admitted - usage.counted)
         return FleetLevel(
             self._tokens - self._overdraft_limit,
-            self._compute_fleet_demand(),
+            max(self._compute_fleet_demand(), fleet_size * usage.demand_per_second),
             usage.admitted,
             usage.period,
         )
@@ -286,7 +343,8 @@
         uncounted = self._admitted - fleet.admitted
         level = fleet.level - uncounted + self._overdraft_limit * self._reserved_share
         self._level = min(level, self._burst)
-        self._has_level = True
+        self._has_level = self._is_synchronized = True
+        self._counted = fleet.admitted
         self._fleet_demand_per_second = fleet.demand_per_second
         self._answered_at_seconds = now_seconds
         self._round_tokens = max(0.0, self._tokens) + self._admitted_in_round
--- a/egrethall/quota/_collectors.py
+++ b/egrethall/quota/_collectors.py
@@ -8,6 +8,7 @@
 result.
 """
 
+from collections.abc import Collection
 from functools import lru_cache
 
 import structlog
@@ -33,15 +34,18 @@
 class CollectorSelector:
     """Selects each organisation's collector by rendezvous hashing, without messages.
 
-    Instances whose lists of members differ may select different collectors. Each of
-    these then counts only a part of the fleet, until it has received heartbeats from
-    the rest.
+    Instances whose lists of members differ may select different collectors, as while a
+    fleet is restarted. An instance that gets a report and knows a collector of higher
+    weight forwards it, so that one collector counts the whole fleet.
     """
 
     def __init__(self, own_name: str, clock: Clock) -> None:
         self._own_name = own_name
         self._clock = clock
         self._candidates: frozenset[str] = frozenset({own_name})
+        #: Instances to one of which this one sends its reports instead, which forwards
+        #: them to the collector; empty if this one selects the collector itself.
+        self._forwarders: frozenset[str] = frozenset()
         #: Consecutive unanswered reports, by collector.
         self._unanswered_reports: dict[str, int] = {}
         #: Clock readings until which collectors are excluded, by collector.
@@ -68,11 +72,44 @@
             self._own_name
         }
 
+    def set_forwarders(self, names: frozenset[str]) -> None:
+        """Sets the instances that forward the reports of this one.
+
+        :param names: of instances that know more of the fleet than this one; empty if
+            this one knows enough.
+        """
+        self._forwarders = names - self._excluded_until_seconds.keys()
+
+    def add_candidate(self, name: str) -> None:
+        """Adds an instance that was not known at the begin of the round."""
+        if name not in self._candidates and name not in self._excluded_until_seconds:
+            self._candidates |= {name}
+
     def select(self, organisation: str) -> str:
         """Returns the name of the organisation's collector."""
-        return max(
-            self._candidates, key=lambda name: (self._weigh(organisation, name), name)
-        )
+        return self._find_heaviest(organisation, self._candidates)
+
+    def select_recipient(self, organisation: str) -> str:
+        """Returns the name of the instance to which this one reports its usage."""
+        return self._find_heaviest(organisation, self._forwarders or self._candidates)
+
+    def _find_heaviest(self, organisation: str, names: frozenset[str]) -> str:
+        return max(names, key=lambda name: (self._weigh(organisation, name), name))
+
+    def find_preferred(self, organisation: str, excluded: Collection[str]) -> str:
+        """Returns the collector that a report to this instance should have gone to.
+
+        It is this instance itself if no candidate has a higher weight.
+
+        :param excluded: names of the collectors that the reporting instance excludes.
+        """
+        collector = self.select(organisation)
+        return self._own_name if collector in excluded else collector
+
+    @property
+    def excluded(self) -> Collection[str]:
+        """Names of the instances that are excluded from selection."""
+        return self._excluded_until_seconds.keys()
 
     def record_report(self, collector: str) -> None:
         """Counts a report sent to a collector as unanswered."""
--- a/egrethall/quota/_fleet_allowances.py
+++ b/egrethall/quota/_fleet_allowances.py
@@ -38,6 +38,13 @@
 IDLE_TIMEOUT_CYCLES = 2.0
 
 
+#: Time after its start in which a replacement process learns of the other instances: of
+#: those that one round reaches, and of a larger fleet. Until it has their reports it
+#: admits only the minimum in each round.
+JOINING_SECONDS = 2 * ROUND_SECONDS
+JOINING_LARGE_FLEET_SECONDS = 4 * ROUND_SECONDS
+
+
 @dataclass
 class _Peer:
     """State of another instance that does not depend on the organisation."""
@@ -72,16 +79,17 @@
         self._excess = excess
         self._starts_full = starts_full
         self._clock = clock
+        self._started_at_seconds = clock.monotonic_seconds()
         self._random = random_source
         self._allowances: dict[str, OrganisationAllowance] = {}
         self._peers: dict[str, _Peer] = {}
         self._collector_selector = CollectorSelector(own_name, clock)
         #: True in a fleet too large for one round of heartbeats to reach all of it.
         self._has_collectors = False
+        self._fleet_size = 1
 
     def apply_configuration(self, configuration: PublishedConfiguration) -> None:
         """Adds, changes and removes allowances."""
-        now_seconds = self._clock.monotonic_seconds()
         allowances: dict[str, OrganisationAllowance] = {}
         for plan in configuration.organisations:
             existing = self._allowances.get(plan.name)
@@ -91,7 +99,7 @@
                     plan.burst,
                     self._excess,
                     self._starts_full,
-                    now_seconds,
+                    self._started_at_seconds,
                 )
                 continue
             existing.set_plan(plan.rate_per_second, plan.burst)
@@ -104,7 +112,8 @@
     def admit(self, organisation: str) -> None:
         """Takes a token for one request; raises :class:`RefusedError` without one."""
         allowance = self._allowances.get(organisation)
-        if allowance is None or allowance.try_admit(self._clock.monotonic_seconds()):
+        now_seconds = self._clock.monotonic_seconds()
+        if allowance is None or allowance.try_admit(now_seconds, joining=self.joining):
             return
         wait_seconds = max(MIN_RETRY_AFTER_SECONDS, allowance.estimate_wait_seconds())
         # Jitter, so that callers that are refused together do not retry together.
@@ -117,8 +126,22 @@
             )
         )
 
+    @property
+    def joining(self) -> bool:
+        """Whether this process replaces another one and learns of the others."""
+        if self._starts_full:
+            return False
+        age_seconds = self._clock.monotonic_seconds() - self._started_at_seconds
+        return age_seconds < (
+            JOINING_LARGE_FLEET_SECONDS if self._has_collectors else JOINING_SECONDS
+        )
+
     def begin_round(
-        self, known: frozenset[str], silent: frozenset[str], cycle_seconds: float
+        self,
+        known: frozenset[str],
+        silent: frozenset[str],
+        cycle_seconds: float,
+        seeds: frozenset[str] = frozenset(),
     ) -> None:
         """Starts a round of heartbeats.
 
@@ -127,6 +150,7 @@
             :data:`UNKNOWN_PEER_TIMEOUT_SECONDS`.
         :param silent: names of the members whose heartbeats are overdue.
         :param cycle_seconds: time in which each other instance gets one heartbeat.
+        :param seeds: names of the members that each new instance contacts first.
         """
         now_seconds = self._clock.monotonic_seconds()
         for name in self._peers.keys() - known:
@@ -135,15 +159,28 @@
             if now_seconds - last_message_at_seconds > UNKNOWN_PEER_TIMEOUT_SECONDS:
                 self._remove_peer(name)
         self._has_collectors = cycle_seconds > ROUND_SECONDS
+        self._fleet_size = 1 + len(known)
         self._collector_selector.begin_round(known - silent)
+        self.set_seeds(seeds)
         for name in silent & self._peers.keys():
             # Its next heartbeat releases what is reserved for it, whatever it lists.
             self._peers[name].tracked_organisations = set(self._allowances)
         for allowance in self._allowances.values():
             allowance.begin_round(
-                now_seconds, silent, IDLE_TIMEOUT_CYCLES * cycle_seconds
+                now_seconds,
+                silent,
+                IDLE_TIMEOUT_CYCLES * cycle_seconds,
+                self._random.random(),
             )
 
+    def set_seeds(self, seeds: frozenset[str]) -> None:
+        """Sets the names of the members that each new instance contacts first.
+
+        They know of all others first. While this process is joining, it reports to one
+        of them, which forwards the reports to the collectors.
+        """
+        self._collector_selector.set_forwarders(seeds if self.joining else frozenset())
+
     def build_usage(self) -> Mapping[str, OrganisationUsage]:
         """Returns this instance's usage of each organisation that is not idle."""
         return {
@@ -153,7 +190,7 @@
         }
 
     def build_reports(self) -> Mapping[str, Mapping[str, OrganisationUsage]]:
-        """Returns the usage to report in this round, by the name of the collector.
+        """Returns the usage to report in this round, by the name of the recipient.
 
         A small fleet has no collectors, since each round of heartbeats reaches all of
         it.
@@ -164,16 +201,39 @@
         for organisation, allowance in self._allowances.items():
             if not allowance.needs_report:
                 continue
-            collector = self._collector_selector.select(organisation)
-            if collector != self._own_name:
-                reports.setdefault(collector, {})[organisation] = allowance.usage
-        for collector in reports:
-            self._collector_selector.record_report(collector)
+            recipient = self._collector_selector.select_recipient(organisation)
+            if recipient != self._own_name:
+                reports.setdefault(recipient, {})[organisation] = allowance.usage
+        for recipient in reports:
+            self._collector_selector.record_report(recipient)
         return reports
 
+    def find_forwards(
+        self, reports: UsageReports
+    ) -> Mapping[str, Mapping[str, OrganisationUsage]]:
+        """Returns the usage in reports that has another collector, by its name.
+
+        That may be the reporting instance itself, if it did not know that yet.
+        """
+        forwards: dict[str, dict[str, OrganisationUsage]] = {}
+        for organisation, usage in reports.usage.items():
+            collector = self._collector_selector.find_preferred(
+                organisation, reports.excluded
+            )
+            if collector != self._own_name:
+                forwards.setdefault(collector, {})[organisation] = usage
+        return forwards
+
+    @property
+    def excluded_collectors(self) -> tuple[str, ...]:
+        """Names of the collectors that do not answer this instance's reports."""
+        return tuple(self._collector_selector.excluded)
+
     def charge_reports(self, reports: UsageReports) -> Mapping[str, FleetLevel]:
         """Charges reports to this instance as a collector; returns the answer."""
         levels: dict[str, FleetLevel] = {}
+        # Others that were restarted as well have not reported yet.
+        fleet_size = self._fleet_size if self.joining else 0
         peer, is_known_run = self._update_peer(reports.name, reports.run)
         for organisation, usage in reports.usage.items():
             allowance = self._allowances.get(organisation)
@@ -183,12 +243,14 @@
             levels[organisation] = allowance.collect(
                 UsageReport(reports.name, reports.run, reports.sequence, usage),
                 is_known_run=is_known_run,
+                fleet_size=fleet_size,
             )
         return levels
 
     def adopt_levels(self, answer: CollectorAnswer) -> None:
         """Adopts the levels in a collector's answer."""
         self._collector_selector.record_answer(answer.name)
+        self._collector_selector.record_answer(answer.recipient)
         now_seconds = self._clock.monotonic_seconds()
         for organisation, level in answer.levels.items():
             allowance = self._allowances.get(organisation)
@@ -201,14 +263,22 @@
             self._remove_peer(heartbeat.name)
             return
         peer, is_known_run = self._update_peer(heartbeat.name, heartbeat.run)
+        self._collector_selector.add_candidate(heartbeat.name)
         for organisation, usage in heartbeat.usage.items():
             allowance = self._allowances.get(organisation)
             if allowance is None:
                 continue
             peer.tracked_organisations.add(organisation)
             allowance.charge_report(
-                UsageReport(heartbeat.name, heartbeat.run, heartbeat.sequence, usage),
+                UsageReport(
+                    heartbeat.name,
+                    heartbeat.run,
+                    heartbeat.sequence,
+                    usage,
+                    heartbeat.settled,
+                ),
                 is_known_run=is_known_run,
+                synchronizes=heartbeat.settled and not self._has_collectors,
             )
         for organisation in peer.tracked_organisations - heartbeat.usage.keys():
             allowance = self._allowances.get(organisation)
--- a/egrethall/quota/_usage.py
+++ b/egrethall/quota/_usage.py
@@ -55,6 +55,9 @@
     #: Sequence number of the message among the heartbeats and reports of the run.
     sequence: int
     usage: OrganisationUsage
+    #: False if the instance has replaced another process and learns of the others, so
+    #: that they do not know what it has admitted.
+    settled: bool = True
 
 
 @dataclass(slots=True)
