Let only organisations over their rate repay what a restart forgot

Cause: restarted processes began 0.6 of the tolerated excess in debt, which contains the 20 requests of slack.

Change: they begin at their overdraft as before, and an organisation whose demand exceeds its rate gets no new tokens for the first second. Shares are rounded at random only where a round may not reach the whole fleet.

--- a/egrethall/quota/_allowance.py
+++ b/egrethall/quota/_allowance.py
@@ -12,10 +12,11 @@
 #: requests that other instances have admitted but not reported to this one yet.
 OVERDRAFT_RATIO = 0.3
 
-#: Part of the tolerated excess by which the bucket of a replacement process begins
-#: overdrawn. If a whole fleet is restarted nobody knows what was admitted before, which
-#: may have been more than rate and burst.
-INITIAL_DEBT_RATIO = 0.6
+#: Time for which a replacement process adds no tokens if the demand exceeds the rate.
+#: If a whole fleet is restarted, nobody knows what it admitted before, and an
+#: organisation that sends too much may have had more than its rate and burst: in two
+#: rounds, whose usage had not been reported and answered.
+INITIAL_DEBT_SECONDS = 1.0
 
 #: Time over which the demand is averaged. When an organisation's traffic rises
 #: suddenly, the shares adapt within about two rounds of heartbeats.
@@ -26,8 +27,8 @@
 #: in bursts. It does not apply while the bucket is overdrawn.
 MIN_REQUESTS_PER_ROUND = 2
 
-#: Requests that a replacement process may admit before it has learned from others how
-#: many tokens are left. Every instance of a fleet that is restarted may do so.
+#: Requests that a replacement process may admit in a round before it has learned from
+#: others how many tokens are left. Every instance of a restarted fleet may do so.
 MAX_REQUESTS_UNSYNCHRONIZED = 1
 
 #: Demand above which an instance reports to the collector in each round. A single
@@ -90,10 +91,9 @@
         self._overdraft_limit = OVERDRAFT_RATIO * excess.compute_requests(
             rate_per_second, burst
         )
-        self._level = burst
-        if not full:
-            excess_requests = excess.compute_requests(rate_per_second, burst)
-            self._level = -INITIAL_DEBT_RATIO * excess_requests
+        self._level = burst if full else -self._overdraft_limit
+        #: Time for which new tokens still repay what was admitted before a restart.
+        self._debt_seconds = 0.0 if full else INITIAL_DEBT_SECONDS
         self._now_seconds = now_seconds
         self._admitted = 0
         self._period = 0
@@ -105,7 +105,7 @@
         self._idle_timeout_seconds = 0.0
         #: Tokens of this round, of which this instance may admit its share.
         self._round_tokens = self._level + self._overdraft_limit
-        self._rounding = 0.0
+        self._rounding = 1.0
         self._demand_per_second = 0.0
         self._smoothed_demand = SmoothedDemand()
         self._peers: dict[str, PeerUsage] = {}
@@ -195,7 +195,9 @@
         return True
 
     def _admit_unsynchronized(self) -> bool:
-        if self._tokens <= 0 or self._admitted >= MAX_REQUESTS_UNSYNCHRONIZED:
+        if self._tokens <= 0 or (
+            self._admitted_in_round >= MAX_REQUESTS_UNSYNCHRONIZED
+        ):
             return False
         self._count_admitted()
         return True
@@ -211,16 +213,16 @@
         now_seconds: float,
         silent: frozenset[str],
         idle_timeout_seconds: float,
-        rounding: float = 0.0,
+        rounding: float = 1.0,
     ) -> None:
         """Starts the round of the next heartbeat.
 
         :param silent: names of the instances whose heartbeats are overdue.
         :param idle_timeout_seconds: time without a request after which the organisation
             is left out of heartbeats and its count of admitted requests restarts at 0.
-        :param rounding: random number from 0 to 1. While the bucket is overdrawn, a
-            share of less than one request is rounded up in as many rounds as it makes
-            up of one, so that the shares of a large fleet do not exceed what is left.
+        :param rounding: added to a share of less than one request while the bucket is
+            overdrawn: 1 to admit a request in each round; a random number from 0 to 1
+            in a large fleet, whose shares would else exceed what is left.
         """
         self._advance(now_seconds)
         self._idle_timeout_seconds = idle_timeout_seconds
@@ -466,6 +468,10 @@
         self._demand_per_second *= max(
             0.0, 1.0 - elapsed_seconds / DEMAND_AVERAGING_SECONDS
         )
+        if self._debt_seconds and self._compute_fleet_demand() > self._rate_per_second:
+            repaying_seconds = min(elapsed_seconds, self._debt_seconds)
+            self._debt_seconds -= repaying_seconds
+            elapsed_seconds -= repaying_seconds
         new_tokens = self._rate_per_second * elapsed_seconds
         if self._reserved_share:
             for peer in self._peers.values():
--- a/egrethall/quota/_fleet_allowances.py
+++ b/egrethall/quota/_fleet_allowances.py
@@ -136,6 +136,11 @@
             JOINING_LARGE_FLEET_SECONDS if self._has_collectors else JOINING_SECONDS
         )
 
+    @property
+    def _may_be_large(self) -> bool:
+        """Whether one round does not reach the whole fleet, as far as is known."""
+        return self._has_collectors or self.joining
+
     def begin_round(
         self,
         known: frozenset[str],
@@ -170,7 +175,7 @@
                 now_seconds,
                 silent,
                 IDLE_TIMEOUT_CYCLES * cycle_seconds,
-                self._random.random(),
+                self._random.random() if self._may_be_large else 1.0,
             )
 
     def set_seeds(self, seeds: frozenset[str]) -> None:
