Send fewer bytes between instances and keep less of idle ones

A heartbeat has 245 bytes, 76 of them names of instances that its recipient knows; each of 312 instances reads 215 records twice (start, return after the loss of power); and each keeps a usage of each organisation and other instance, 260 bytes for 43,680 pairs, nearly all of them idle.

Change: heartbeats name others only to instances that know fewer; records between instances are compressed; for an idle instance only its run is kept. A level that no outage changed takes one byte instead of nine.

--- a/egrethall/fleet/_gossip.py
+++ b/egrethall/fleet/_gossip.py
@@ -135,15 +135,17 @@
         self._members.remove_expired()
         self._participant.begin_round()
         heartbeat = self._participant.compose_heartbeat(MEMBERS_PER_HEARTBEAT)
-        datagram = encode_message(heartbeat)
+        naming = encode_message(heartbeat)
+        plain = encode_message(replace(heartbeat, members=()))
         recipients = dict.fromkeys(self._members.choose_recipients())
         if heartbeat.polls_store:
             # The zone detects within a few rounds that its reader stopped.
             recipients |= dict.fromkeys(
                 self._members.find_zone_addresses(heartbeat.availability_zone)
             )
+        uninformed = self._members.find_uninformed(recipients)
         for address in recipients:
-            _send(sender, datagram, address)
+            _send(sender, naming if address in uninformed else plain, address)
         self._send_reports(sender)
 
     def _send_reports(self, sender: socket.socket) -> None:
--- a/egrethall/fleet/_members.py
+++ b/egrethall/fleet/_members.py
@@ -1,6 +1,7 @@
 """The other instances of the fleet, as far as this one knows them."""
 
 import bisect
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from egrethall.fleet._messages import Heartbeat
@@ -58,6 +59,8 @@
     last_seen_at_seconds: float = 0.0
     #: False until its first heartbeat.
     confirmed: bool = False
+    #: Number of the other instances that it knew at its last heartbeat.
+    known_count: int = 0
 
 
 class FleetMembers:
@@ -117,6 +120,7 @@
         member.polls_store = heartbeat.polls_store
         member.last_seen_at_seconds = self._clock.monotonic_seconds()
         member.confirmed = True
+        member.known_count = heartbeat.known_count
         return is_new
 
     def add_named(self, name: str, address: str) -> None:
@@ -156,6 +160,19 @@
         addresses = [self._members[name].address for name in names]
         return addresses + self.find_unconfirmed_seeds()
 
+    def find_uninformed(self, addresses: Iterable[str]) -> frozenset[str]:
+        """Returns those of ``addresses`` whose heartbeats are to name other instances.
+
+        Instances that know as many as this one need no names, which would make up a
+        quarter of the bytes of a heartbeat.
+        """
+        informed = {
+            member.address
+            for member in self._members.values()
+            if member.confirmed and member.known_count >= len(self._members)
+        }
+        return frozenset(addresses) - informed
+
     def record_sent(self, name: str) -> None:
         """Records that a heartbeat was sent to an instance outside of the rounds."""
         self._unsent.discard(name)
--- a/egrethall/fleet/_messages.py
+++ b/egrethall/fleet/_messages.py
@@ -161,7 +161,9 @@
         heartbeat.leaving,
         heartbeat.revision,
         heartbeat.reads_store,
-        heartbeat.since_outage_seconds,
+        None
+        if math.isinf(heartbeat.since_outage_seconds)
+        else heartbeat.since_outage_seconds,
         _encode_usages(heartbeat.usage),
         heartbeat.crashes,
         heartbeat.members,
@@ -186,7 +188,9 @@
         revision=int(revision),
         reads_store=bool(reads_store),
         polls_store=bool(polls_store),
-        since_outage_seconds=float(since_outage_seconds),
+        since_outage_seconds=(
+            math.inf if since_outage_seconds is None else float(since_outage_seconds)
+        ),
         usage=_decode_usages(usage),
         crashes=tuple(
             (bytes(fingerprint), str(upstream)) for fingerprint, upstream in crashes
--- a/egrethall/fleet/_record_exchange.py
+++ b/egrethall/fleet/_record_exchange.py
@@ -1,6 +1,7 @@
 """Reads records from another instance instead of the store."""
 
 import struct
+import zlib
 
 import anyio
 import msgpack
@@ -19,6 +20,10 @@
 #: Limit for a message: the store's largest value and a thousand upstream entries.
 MAX_MESSAGE_BYTES = 8 * 1024 * 1024
 
+#: Compression level of records: bytes between availability zones are billed, and a
+#: starting fleet reads all records many times. Higher levels save little more.
+COMPRESSION_LEVEL = 3
+
 _LENGTH_PREFIX = struct.Struct(">I")
 
 logger = structlog.get_logger(__name__)
@@ -43,14 +48,19 @@
                 with anyio.fail_after(EXCHANGE_TIMEOUT_SECONDS):
                     after_revision = int(msgpack.unpackb(await _receive(stream)))
                     batch = self._cache.find_changes(after_revision)
-                    records = [[r.key, r.revision, r.value] for r in batch.records]
-                    message = [batch.revision, batch.whole, records]
-                    await _send(stream, msgpack.packb(message))
+                    await _send(stream, encode_records(batch))
             except Exception as error:
                 # A malformed request of one instance must not stop the server.
                 logger.info("record request not answered", error=repr(error))
 
 
+def encode_records(batch: RecordBatch) -> bytes:
+    """Returns the message that carries ``batch``."""
+    records = [[r.key, r.revision, r.value] for r in batch.records]
+    message = msgpack.packb([batch.revision, batch.whole, records])
+    return zlib.compress(message, COMPRESSION_LEVEL)
+
+
 async def read_records_from_peer(address: str, after_revision: int) -> RecordBatch:
     """Returns the changes after a revision, read from the instance at ``address``.
 
@@ -60,7 +70,8 @@
         with anyio.fail_after(EXCHANGE_TIMEOUT_SECONDS):
             async with await open_stream(address, EXCHANGE_TIMEOUT_SECONDS) as stream:
                 await _send(stream, msgpack.packb(after_revision))
-                revision, whole, records = msgpack.unpackb(await _receive(stream))
+                message = msgpack.unpackb(_decompress(await _receive(stream)))
+                revision, whole, records = message
         return RecordBatch(
             int(revision),
             tuple(Record(str(key), int(at), value) for key, at, value in records),
@@ -78,6 +89,18 @@
         raise RecordSourceError(f"{address}: {error!r}") from error
 
 
+def _decompress(packed: bytes) -> bytes:
+    """Returns the decompressed message; raises :class:`ValueError`."""
+    decompressor = zlib.decompressobj()
+    try:
+        message = decompressor.decompress(packed, MAX_MESSAGE_BYTES)
+    except zlib.error as error:
+        raise ValueError(f"message cannot be decompressed: {error}") from error
+    if not decompressor.eof:
+        raise ValueError(f"message of over {MAX_MESSAGE_BYTES} bytes or cut off")
+    return message
+
+
 async def _send(stream: SocketStream, message: bytes) -> None:
     await stream.send(_LENGTH_PREFIX.pack(len(message)) + message)
 
--- a/egrethall/fleet/tests/members.feature
+++ b/egrethall/fleet/tests/members.feature
@@ -19,6 +19,27 @@
     Then every instance knows the 311 others
     And each instance was introduced to the others at most 60 times
 
+  Scenario: Heartbeats of a large fleet that knows itself name no instances
+    Given 141 instances with 3 seeds of which 0 is stale
+    When heartbeats are exchanged for 45 s
+    Then heartbeats exchanged for another 10 s name no instance
+
+  Scenario: Records are read from another instance
+    Given an instance that serves 200 records
+    When another one reads them
+    Then it has the same records
+    And a third of their bytes or less were sent
+
+  Scenario Outline: Records that are <fault> are not applied
+    Given an instance that serves records that are <fault>
+    When another one reads them
+    Then the read fails
+
+    Examples:
+      | fault          |
+      | not compressed |
+      | cut off        |
+
   Scenario: A replaced instance is counted once
     Given 5 instances with 3 seeds of which 0 is stale
     When heartbeats are exchanged for 3 s
--- a/egrethall/fleet/tests/steps/member_steps.py
+++ b/egrethall/fleet/tests/steps/member_steps.py
@@ -1,7 +1,9 @@
 import random
 import socket
+import zlib
 
 import anyio
+import msgpack
 from behave import given, then, when
 
 from egrethall.fleet import (
@@ -14,12 +16,23 @@
     Heartbeat,
     MalformedMessageError,
     OrganisationUsage,
+    RecordServer,
     RecordSources,
     UsageReports,
     decode_message,
     encode_message,
+    read_records_from_peer,
+)
+from egrethall.fleet._record_exchange import encode_records
+from egrethall.http1 import ConnectError
+from egrethall.records import RecordCache
+from egrethall.types import (
+    ManualClock,
+    Record,
+    RecordBatch,
+    RecordSourceError,
+    SystemClock,
 )
-from egrethall.types import ManualClock, SystemClock
 
 STALE_SEED = "10.9.9.9:80"
 
@@ -43,6 +56,8 @@
         self.largest_round = 0
         #: Number of answers to new instances that name others.
         self.introductions = 0
+        #: Number of instances that heartbeats named, without those answers.
+        self.named_count = 0
 
     def make_members(self, number):
         return FleetMembers(
@@ -87,7 +102,10 @@
             other in self.partition
         ):
             return
-        heartbeat = self.compose_heartbeat(number)
+        uninformed = self.members[number].find_uninformed([address])
+        max_named = MEMBERS_PER_HEARTBEAT if uninformed else 0
+        self.named_count += max_named
+        heartbeat = self.compose_heartbeat(number, max_named)
         if self.members[other].observe(heartbeat):
             named_count = self.members[other].count_introductions(heartbeat)
             self.introductions += named_count > 0
@@ -162,6 +180,13 @@
         assert index == number or len(members.find_confirmed()) == count, index
 
 
+@then("heartbeats exchanged for another {seconds:d} s name no instance")
+def step_impl(context, seconds):
+    context.fleet.named_count = 0
+    context.fleet.run(seconds)
+    assert not context.fleet.named_count, context.fleet.named_count
+
+
 @then("each instance was introduced to the others at most {count:d} times")
 def step_impl(context, count):
     fleet = context.fleet
@@ -405,6 +430,86 @@
     assert context.participant.answers[0] == answer, context.participant.answers
 
 
+def serve_records(context, serve):
+    """Reads records in the next step from an instance that runs ``serve``."""
+
+    async def read(own):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(serve)
+            with anyio.fail_after(5):
+                while True:
+                    try:
+                        own.apply(await read_records_from_peer(context.address, 0))
+                        break
+                    except RecordSourceError as error:
+                        context.error = error
+                        if not isinstance(error.__cause__, ConnectError):
+                            break
+                        await anyio.sleep(0.01)
+            tasks.cancel_scope.cancel()
+
+    context.read_records = read
+
+
+@given("an instance that serves {count:d} records")
+def step_impl(context, count):
+    own, context.address = open_udp(context, "127.0.0.1")
+    own.close()
+    context.cache = RecordCache()
+    value = b'{"service": "lookup", "zone": "east", "state": "ready", "number": %d}'
+    records = tuple(Record(f"servers/{n}", n + 1, value % n) for n in range(count))
+    context.cache.apply(RecordBatch(count, records, whole=True))
+    context.value_bytes = sum(len(record.value) for record in records)
+    serve_records(context, RecordServer(context.address, context.cache).run)
+
+
+@given("an instance that serves records that are {fault}")
+def step_impl(context, fault):
+    own, context.address = open_udp(context, "127.0.0.1")
+    own.close()
+    message = msgpack.packb([1, True, []])
+    if fault == "cut off":
+        message = zlib.compress(message)[:-4]
+
+    async def answer(stream):
+        async with stream:
+            await stream.receive()
+            await stream.send(len(message).to_bytes(4, "big") + message)
+
+    async def serve():
+        host, port = context.address.split(":")
+        listener = await anyio.create_tcp_listener(
+            local_host=host, local_port=int(port)
+        )
+        await listener.serve(answer)
+
+    serve_records(context, serve)
+
+
+@when("another one reads them")
+def step_impl(context):
+    context.read = RecordCache()
+    context.error = None
+    anyio.run(context.read_records, context.read)
+
+
+@then("it has the same records")
+def step_impl(context):
+    assert context.read.find_changes(0) == context.cache.find_changes(0)
+
+
+@then("a third of their bytes or less were sent")
+def step_impl(context):
+    sent_bytes = len(encode_records(context.cache.find_changes(0)))
+    assert sent_bytes <= context.value_bytes / 3, sent_bytes
+
+
+@then("the read fails")
+def step_impl(context):
+    assert context.error is not None
+    assert not context.read.revision
+
+
 @then("instance 0 can reach {count:d} others")
 def step_impl(context, count):
     reachable = context.fleet.members[0].find_reachable()
--- a/egrethall/quota/_allowance.py
+++ b/egrethall/quota/_allowance.py
@@ -109,6 +109,9 @@
         self._demand_per_second = 0.0
         self._smoothed_demand = SmoothedDemand()
         self._peers: dict[str, PeerUsage] = {}
+        #: Runs of the other instances that have no requests of the organisation. Most
+        #: of a large fleet have none, and a usage of each would fill the memory.
+        self._idle_runs: dict[str, int] = {}
         #: False until a replacement process has adopted a level.
         self._has_level = full
         #: False until that level rests on the reports of other instances.
@@ -252,6 +255,7 @@
         :param synchronizes: True if the level in the report is that of the fleet.
         """
         run, usage = report.run, report.usage
+        self._idle_runs.pop(report.name, None)
         previous = self._peers.get(report.name)
         if (
             previous is not None
@@ -298,9 +302,10 @@
 
         :return: True if another report without requests would change nothing.
         """
-        peer = self._peers.setdefault(
-            name, PeerUsage(run, sequence, 0, 0, 0.0, self._now_seconds)
-        )
+        peer = self._peers.get(name)
+        if peer is None:
+            self._idle_runs[name] = run
+            return True
         if peer.run == run and sequence < peer.sequence:
             return False
         self._release_reservation(peer, used_up=peer.run != run)
@@ -311,7 +316,11 @@
         peer.reported_at_seconds = self._now_seconds
         peer.demand_per_second = 0.0
         peer.smoothed_demand.add(0.0)
-        return peer.smoothed_demand.per_second < NEGLIGIBLE_DEMAND_PER_SECOND
+        if peer.smoothed_demand.per_second >= NEGLIGIBLE_DEMAND_PER_SECOND:
+            return False
+        del self._peers[name]
+        self._idle_runs[name] = run
+        return True
 
     def collect(
         self, report: UsageReport, *, is_known_run: bool, fleet_size: int = 0
@@ -353,6 +362,7 @@
 
     def remove_peer(self, name: str) -> None:
         """Removes an instance that has left or is no longer a member."""
+        self._idle_runs.pop(name, None)
         peer = self._peers.pop(name, None)
         if peer is not None:
             self._release_reservation(peer, used_up=True)
@@ -373,8 +383,12 @@
         return (self._now_seconds - self._answered_at_seconds) / since_seconds
 
     def _list_reachable_peers(self) -> list[PeerUsage]:
+        """Returns the usage of the reachable instances, without idle ones."""
         return [p for p in self._peers.values() if p.silent_since_seconds is None]
 
+    def _count_reachable_peers(self) -> int:
+        return len(self._list_reachable_peers()) + len(self._idle_runs)
+
     @property
     def _tokens(self) -> float:
         """Tokens available on this side of a network partition, overdraft included."""
@@ -382,6 +396,10 @@
 
     def _reserve_shares(self, silent: frozenset[str]) -> None:
         """Reserves the shares of instances that have newly fallen silent."""
+        for name in silent & self._idle_runs.keys():
+            self._peers[name] = PeerUsage(
+                self._idle_runs.pop(name), 0, 0, 0, 0.0, self._now_seconds
+            )
         newly_silent = [
             peer
             for name in silent
@@ -397,7 +415,7 @@
         is_demand_known = active_seconds >= self._idle_timeout_seconds
         unreserved_share = 1.0 - self._reserved_share
         tokens = max(0.0, self._tokens)
-        equal_part = 1.0 / (1 + len(reachable))
+        equal_part = 1.0 / (1 + len(reachable) + len(self._idle_runs))
         for peer in newly_silent:
             part = equal_part
             if total > 0 and is_demand_known:
@@ -495,7 +513,7 @@
     def _compute_own_share(self) -> float:
         """Returns this instance's part of the tokens that are not reserved."""
         total = self._compute_fleet_demand()
-        min_share = MIN_SHARE_RATIO / (1 + len(self._list_reachable_peers()))
+        min_share = MIN_SHARE_RATIO / (1 + self._count_reachable_peers())
         if total <= 0:
             return min_share
         return max(min_share, self._demand_per_second / total)
--- a/egrethall/quota/tests/allowances.feature
+++ b/egrethall/quota/tests/allowances.feature
@@ -149,6 +149,11 @@
     When 5 s have passed and organisation 7 has sent one more request
     Then only organisation 7 is reported, with 1 request in a new period
 
+  Scenario: Instances without requests cost little memory for each organisation
+    Given 100 organisations and 300 other instances that send no requests
+    When 2 heartbeats of each other instance arrive
+    Then at most 100 bytes are kept for each organisation and other instance
+
   Scenario: Requests admitted before an instance was discovered are not charged
     Given two instances, one of which admitted 8 requests long ago
     When the other one discovers it, and receives a report after 3 more requests
--- a/egrethall/quota/tests/steps/allowance_steps.py
+++ b/egrethall/quota/tests/steps/allowance_steps.py
@@ -1,4 +1,5 @@
 import random
+import tracemalloc
 from dataclasses import replace
 
 from behave import given, then, when
@@ -377,6 +378,33 @@
         context.allowances.admit(name)
 
 
+@given("{count:d} organisations and {peers:d} other instances that send no requests")
+def step_impl(context, count, peers):
+    make_allowances(context, [f"organisation-{n}" for n in range(count)], 10, 10)
+    context.peers = [f"entry-{n}" for n in range(2, peers + 2)]
+    context.pair_count = count * peers
+
+
+@when("{count:d} heartbeats of each other instance arrive")
+def step_impl(context, count):
+    tracemalloc.start()
+    context.add_cleanup(tracemalloc.stop)
+    for sequence in range(1, count + 1):
+        context.allowances.begin_round(
+            frozenset(context.peers), frozenset(), CYCLE_SECONDS
+        )
+        for name in context.peers:
+            context.allowances.charge_heartbeat(
+                Heartbeat(name, 7, "10.0.0.1:80", "east", False, 1, sequence=sequence)
+            )
+    context.kept_bytes, _ = tracemalloc.get_traced_memory()
+
+
+@then("at most {count:d} bytes are kept for each organisation and other instance")
+def step_impl(context, count):
+    assert context.kept_bytes <= count * context.pair_count, context.kept_bytes
+
+
 @then("all of them are reported")
 def step_impl(context):
     assert set(context.allowances.build_usage()) == set(context.names)
