Choose candidates from a subset of the upstreams of a zone

Change: an instance chooses candidates among the 12 upstreams of a zone with the highest rendezvous weights, the same that select the senders of a cold upstream.

Result: placement/tests 'An instance uses few of many upstreams, and the fleet all of them': at most 12 each, all 40 used, the busiest under 1.6 times the average.

--- a/egrethall/entry/_daemon.py
+++ b/egrethall/entry/_daemon.py
@@ -98,7 +98,7 @@
         self._record_cache = RecordCache()
         self._source_status = SourceStatus(self._clock)
         self._metrics = RequestMetrics(self._source_status.calls)
-        self._upstream_table = UpstreamTable(self._clock, self._random)
+        self._upstream_table = UpstreamTable(self._clock, self._random, settings.name)
         self._crash_guard = CrashGuard(self._clock)
         self._pool = ConnectionPool(self._clock)
         bounds = settings.bounds
--- a/egrethall/placement/_table.py
+++ b/egrethall/placement/_table.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import heapq
 from collections import OrderedDict
 
 import structlog
 
 from egrethall.placement._upstream_state import UpstreamState
-from egrethall.types import Clock, RandomSource, UpstreamEntry
+from egrethall.types import Clock, RandomSource, UpstreamEntry, weigh
 
 #: An upstream's entry may lapse during an outage of the record source although the
 #: upstream still runs. It is published again within this time after the outage.
@@ -18,6 +19,11 @@
 #: those that have left expire, after three heartbeats of 1.5 s.
 OUTDATED_ENTRY_DELAY_SECONDS = 5.0
 
+#: Upstreams of one availability zone from which an instance chooses candidates. Few
+#: enough that an instance with some requests a second uses a connection again before
+#: the upstream closes it, many enough that upstreams get even shares of the requests.
+SUBSET_SIZE = 12
+
 #: Removed upstreams whose last entry is remembered.
 MAX_REMOVED_ENTRIES = 4096
 
@@ -29,11 +35,18 @@
 
     An upstream is usable unless it is draining or in an availability zone that is out
     of service.
+
+    :param own_name: name of this instance, which selects its subset of the upstreams.
     """
 
-    def __init__(self, clock: Clock, random_source: RandomSource) -> None:
+    def __init__(
+        self, clock: Clock, random_source: RandomSource, own_name: str = ""
+    ) -> None:
         self._clock = clock
         self._random = random_source
+        self._own_name = own_name
+        #: Rendezvous weights by upstream.
+        self._weights: dict[str, bytes] = {}
         self._states: dict[str, UpstreamState] = {}
         self._by_service: dict[str, dict[str, UpstreamState]] = {}
         self._zones_out_of_service: set[str] = set()
@@ -82,6 +95,7 @@
             self._remove(entry.name)
         state = UpstreamState(entry, self._clock)
         self._states[entry.name] = state
+        self._weights[entry.name] = weigh(entry.name, self._own_name)
         self._by_service.setdefault(entry.service, {})[entry.name] = state
         logger.info(
             "upstream added",
@@ -173,6 +187,11 @@
         if there are too few others, and cold ones only if there are still too few.
         Upstreams with a rate limit come first: what is not used of a limit is lost, and
         the others are left to requests that find no limit with room.
+
+        Of many upstreams in one zone, only those with the highest rendezvous weights
+        for this instance are chosen (deterministic subsetting, Beyer et al., "Site
+        Reliability Engineering", 2016, chapter 20), so that connections are used again.
+        The senders of a cold upstream are those with the highest weights as well.
         """
         usable = [s for s in self.find_usable(service) if s.name not in excluded]
         sound = [s for s in usable if not s.penalized and not s.cold]
@@ -193,15 +212,23 @@
             chosen += self._sample(elsewhere, count - len(chosen))
         return chosen
 
+    def _choose_subset(self, states: list[UpstreamState]) -> list[UpstreamState]:
+        if len(states) <= SUBSET_SIZE:
+            return states
+        return heapq.nlargest(
+            SUBSET_SIZE, states, key=lambda state: self._weights[state.name]
+        )
+
     def _sample(self, states: list[UpstreamState], count: int) -> list[UpstreamState]:
         if count <= 0:
             return []
         if len(states) <= count:
             return states
-        return self._random.sample(states, count)
+        return self._random.sample(self._choose_subset(states), count)
 
     def _remove(self, name: str) -> None:
         state = self._states.pop(name)
+        del self._weights[name]
         del self._by_service[state.entry.service][name]
         self._removed_entries[name] = state.entry
         while len(self._removed_entries) > MAX_REMOVED_ENTRIES:
--- a/egrethall/placement/tests/steps/upstream_steps.py
+++ b/egrethall/placement/tests/steps/upstream_steps.py
@@ -1,4 +1,5 @@
 import random
+from collections import Counter
 from dataclasses import replace
 
 from behave import given, then, when
@@ -18,9 +19,9 @@
 class TableSubject:
     """An upstream table that holds the upstreams of one service."""
 
-    def __init__(self, zones):
+    def __init__(self, zones, own_name=""):
         self.clock = ManualClock()
-        self.table = UpstreamTable(self.clock, random.Random(5))
+        self.table = UpstreamTable(self.clock, random.Random(5), own_name)
         for name, zone in zones.items():
             self.table.set_entry(self.make_entry(name, zone))
 
@@ -246,3 +247,43 @@
 @then("the second service gets {low:d} to {high:d} of every 100 requests")
 def step_impl(context, low, high):
     assert low <= context.percent <= high, context.percent
+
+
+@given(
+    "{instances:d} instances that have chosen 2 of the {count:d} upstreams of their"
+    " availability zone {times:d} times, the last one of which was added"
+)
+def step_impl(context, instances, count, times):
+    zones = {f"upstream-{number}": "east" for number in range(count - 1)}
+    context.subjects = [
+        TableSubject(zones, f"entry-{number}") for number in range(instances)
+    ]
+    context.chosen = []
+    for subject in context.subjects:
+        added = f"upstream-{count - 1}"
+        subject.table.set_entry(subject.make_entry(added, "east"))
+        choices = Counter()
+        for _ in range(times):
+            states = subject.table.choose_candidates("reads", "east", 2, frozenset())
+            choices.update(state.name for state in states)
+        context.chosen.append(choices)
+
+
+@then("each instance has chosen at most {count:d} upstreams")
+def step_impl(context, count):
+    assert max(map(len, context.chosen)) <= count
+
+
+@then("no upstream was chosen over {ratio:g} times as often as on average")
+def step_impl(context, ratio):
+    total = sum(context.chosen, Counter())
+    names = context.subjects[0].table.find_usable("reads")
+    average = total.total() / len(names)
+    assert max(total.values()) <= ratio * average, (max(total.values()), average)
+
+
+@then("each upstream was chosen by some instance")
+def step_impl(context):
+    total = sum(context.chosen, Counter())
+    names = {state.name for state in context.subjects[0].table.find_usable("reads")}
+    assert total.keys() == names, names - total.keys()
--- a/egrethall/placement/tests/upstreams.feature
+++ b/egrethall/placement/tests/upstreams.feature
@@ -100,3 +100,11 @@
   Scenario: Requests are split between services in proportion to their weights
     When 2000 requests are split between services with weights 90 and 10
     Then the second service gets 8 to 12 of every 100 requests
+
+  Scenario: An instance uses few of many upstreams, and the fleet all of them
+    Answers requests of many instances with few requests each, whose connections to the
+    upstreams would be closed before they are used again.
+    Given 63 instances that have chosen 2 of the 40 upstreams of their availability zone 300 times, the last one of which was added
+    Then each instance has chosen at most 12 upstreams
+    And each upstream was chosen by some instance
+    And no upstream was chosen over 1.6 times as often as on average
