Notice a caller that disconnects behind many pipelined bytes

Cause: with over 64 KiB of pipelined requests unread, an instance stopped reading for good, so that it no longer noticed that the caller had left, and its request ran on.

Change: from then on the kernel is asked five times a second whether the other end has closed the connection. It can tell unless the bytes left behind exceed the receive window, which the end of the connection is then queued behind.

--- a/egrethall/http1/_server.py
+++ b/egrethall/http1/_server.py
@@ -2,17 +2,22 @@
 
 from __future__ import annotations
 
+import select
 from collections import deque
 from dataclasses import dataclass
 
 import anyio
 import h11
-from anyio.abc import SocketStream
+from anyio.abc import SocketAttribute, SocketStream
 
 from egrethall.http1._client import MAX_READ_BYTES
 from egrethall.http1._errors import ConnectionLostError
 from egrethall.types import Clock, EgrethallError, Headers
 
+#: Interval at which a connection with many unread bytes is checked for a disconnect. A
+#: request of a client that has left must not reach an upstream half a second later.
+DISCONNECT_POLL_SECONDS = 0.2
+
 #: Allowance for the request line on top of the limit for the headers.
 REQUEST_LINE_ALLOWANCE_BYTES = 8 * 1024
 
@@ -128,8 +133,8 @@
     async def wait_for_disconnect(self) -> None:
         """Returns when the client has disconnected; buffers what it sends until then.
 
-        After more than ``MAX_READ_BYTES`` of pipelined requests this stops reading and
-        never returns, which limits the buffer but no longer detects a disconnect.
+        After more than ``MAX_READ_BYTES`` of pipelined requests this stops reading,
+        which limits the buffer, and asks the kernel for the state of the connection.
         """
         while True:
             try:
@@ -142,7 +147,16 @@
                 return
             self._buffer(data)
             if len(self._parser.trailing_data[0]) > MAX_READ_BYTES:
-                await anyio.sleep_forever()
+                await self._poll_until_disconnect()
+                return
+
+    async def _poll_until_disconnect(self) -> None:
+        """Waits until the client has closed its end, without reading what it sent."""
+        poller = select.poll()
+        raw_socket = self._stream.extra(SocketAttribute.raw_socket)
+        poller.register(raw_socket, select.POLLRDHUP | select.POLLHUP | select.POLLERR)
+        while not poller.poll(0):  # noqa: ASYNC110
+            await anyio.sleep(DISCONNECT_POLL_SECONDS)
 
     async def send_head(self, status: int, headers: Headers) -> None:
         """Sends the head of the response to the current request."""
--- a/egrethall/http1/tests/server.feature
+++ b/egrethall/http1/tests/server.feature
@@ -29,6 +29,10 @@
     Then the server reads GET b
     And it detects within 1 s that the client has disconnected
 
+  Scenario: A client that leaves many pipelined bytes behind is detected
+    When the client sends GET /1/ HTTP/1.1\r\nhost: b\r\n\r\n and 200000 further bytes, and disconnects
+    Then the disconnect is detected within 0.5 s, after at most 131072 bytes were read
+
   Scenario: Arrival times are kept for unread data only
     When the client sends POST /a/ HTTP/1.1\r\nhost: b\r\ncontent-length: 30\r\n\r\n and its body byte by byte
     Then the server keeps at most 2 arrival times
--- a/egrethall/http1/tests/steps/http1_steps.py
+++ b/egrethall/http1/tests/steps/http1_steps.py
@@ -247,6 +247,50 @@
     assert context.arrival_count <= count, context.arrival_count
 
 
+@when("the client sends {head} and {count:d} further bytes, and disconnects")
+def step_impl(context, head, count):
+    async def run():
+        listener = socket.create_server(("127.0.0.1", 0))
+        client_socket = socket.create_connection(listener.getsockname())
+        server_socket, _ = listener.accept()
+        listener.close()
+        server_socket.setblocking(False)
+        stream = await anyio.abc.SocketStream.from_socket(server_socket)
+        connection = ServerConnection(stream, MAX_HEADER_BYTES, SystemClock())
+        client_socket.sendall(decode_bytes(head))
+        await connection.wait_for_request()
+        await connection.receive_head()
+        await connection.receive_body(MAX_BODY_BYTES)
+        client_socket.sendall(b"x" * count)
+        detected = anyio.Event()
+
+        async def detect():
+            await connection.wait_for_disconnect()
+            detected.set()
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(detect)
+            # The server stops reading before the client leaves.
+            await anyio.sleep(0.3)
+            client_socket.close()
+            with anyio.move_on_after(0.5):
+                await detected.wait()
+            context.detected = detected.is_set()
+            tasks.cancel_scope.cancel()
+        context.read_bytes = connection._received_bytes
+        await connection.close()
+
+    anyio.run(run)
+
+
+@then(
+    "the disconnect is detected within 0.5 s, after at most {count:d} bytes were read"
+)
+def step_impl(context, count):
+    assert context.read_bytes <= count, context.read_bytes
+    assert context.detected
+
+
 @when("the client sends {request}")
 def step_impl(context, request):
     context.exchange = ServerExchange(decode_bytes(request))
