--- a/egrethall/fleet/_gossip.py
+++ b/egrethall/fleet/_gossip.py
@@ -153,6 +153,8 @@
             _send(sender, encode_message(reports), address)
 
     async def _join(self, sender: socket.socket) -> None:
+        if not self._participant.joining:
+            return
         while self._participant.joining:
             await anyio.sleep(JOINING_INTERVAL_SECONDS)
             self._participant.begin_joining_step()
@@ -163,6 +165,7 @@
                 for address in seeds:
                     _send(sender, datagram, address)
             self._send_reports(sender)
+        logger.info("joined the fleet", known=self._members.fleet_size - 1)
 
     async def _announce(self, sender: socket.socket) -> None:
         while True:
