State the uptime in each log line of an entry instance

Cause: the time of day may jump by seconds, so that lines of one process cannot be ordered by it.

Change: uptime_seconds in each line, from the clock that does not jump. A test that a run with a lower number, as after a jump back, replaces the earlier run.

--- a/egrethall/entry/_daemon.py
+++ b/egrethall/entry/_daemon.py
@@ -316,7 +316,7 @@
 
 def run_entry(settings: EntrySettings, settings_path: Path) -> None:
     """Runs an entry instance until SIGTERM."""
-    configure_entry_logs()
+    configure_entry_logs(SystemClock())
     anyio.run(
         EntryDaemon(settings, settings_path).run,
         backend_options={"loop_factory": make_event_loop},
--- a/egrethall/entry/_logs.py
+++ b/egrethall/entry/_logs.py
@@ -5,6 +5,25 @@
 import sys
 
 import structlog
+from structlog.typing import EventDict, WrappedLogger
+
+from egrethall.types import Clock
+
+
+class UptimeStamper:
+    """Adds the time since its creation to each line.
+
+    The time of day may jump, so that it does not tell the order of lines.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._started_at_seconds = clock.monotonic_seconds()
+
+    def __call__(self, _: WrappedLogger, __: str, event_dict: EventDict) -> EventDict:
+        uptime_seconds = self._clock.monotonic_seconds() - self._started_at_seconds
+        event_dict["uptime_seconds"] = f"{uptime_seconds:.3f}"
+        return event_dict
 
 
 class DroppingLogWriter:
@@ -45,15 +64,19 @@
         return not self._unwritten
 
 
-def configure_entry_logs() -> None:
-    """Configures structlog to write logfmt lines to standard output."""
+def configure_entry_logs(clock: Clock) -> None:
+    """Configures structlog to write logfmt lines to standard output.
+
+    :param clock: measures the time since the start, whatever the time of day.
+    """
     structlog.configure(
         processors=[
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True, key="at"),
+            UptimeStamper(clock),
             structlog.processors.format_exc_info,
             structlog.processors.LogfmtRenderer(
-                key_order=["at", "level", "event"], drop_missing=True
+                key_order=["at", "uptime_seconds", "level", "event"], drop_missing=True
             ),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
--- a/egrethall/entry/tests/steps/log_steps.py
+++ b/egrethall/entry/tests/steps/log_steps.py
@@ -4,7 +4,7 @@
 
 from behave import given, then, when
 
-from egrethall.entry._logs import DroppingLogWriter
+from egrethall.entry._logs import DroppingLogWriter, UptimeStamper
 from egrethall.entry._observer import LogRateLimiter
 from egrethall.types import ManualClock
 
@@ -90,3 +90,23 @@
 def step_impl(context, allowed, left_out):
     assert context.allowed == allowed
     assert context.limiter.take_suppressed_count() == left_out
+
+
+@given("log lines that are stamped with the uptime")
+def step_impl(context):
+    context.clock = ManualClock(7.0)
+    context.stamper = UptimeStamper(context.clock)
+
+
+@when("a line is written {first:f} s and another one {second:f} s after the start")
+def step_impl(context, first, second):
+    context.lines = []
+    for wait_seconds in (first, second - first):
+        context.clock.advance(wait_seconds)
+        context.lines.append(context.stamper(None, "info", {"event": "request"}))
+
+
+@then("the lines state an uptime of {first} and {second} s")
+def step_impl(context, first, second):
+    stated = [line["uptime_seconds"] for line in context.lines]
+    assert stated == [first, second], stated
--- a/egrethall/fleet/tests/members.feature
+++ b/egrethall/fleet/tests/members.feature
@@ -47,6 +47,13 @@
     And heartbeats are exchanged for 2 s
     Then every instance knows the 4 others
 
+  Scenario: A replaced instance is counted once although its time of day went back
+    Given 5 instances with 3 seeds of which 0 is stale
+    When heartbeats are exchanged for 3 s
+    And instance 2 is replaced by a run with a lower number
+    And heartbeats are exchanged for 2 s
+    Then every instance knows the 4 others
+
   Scenario: An instance that leaves is removed at once
     Given 5 instances with 3 seeds of which 0 is stale
     When heartbeats are exchanged for 3 s
--- a/egrethall/fleet/tests/steps/member_steps.py
+++ b/egrethall/fleet/tests/steps/member_steps.py
@@ -158,6 +158,13 @@
     context.fleet.members[number] = context.fleet.make_members(number)
 
 
+@when("instance {number:d} is replaced by a run with a lower number")
+def step_impl(context, number):
+    # The number of a run is the time of day at which it started.
+    context.fleet.runs[number] -= 1
+    context.fleet.members[number] = context.fleet.make_members(number)
+
+
 @when("instance {number:d} leaves")
 def step_impl(context, number):
     context.fleet.leaving.add(number)
--- a/egrethall/quota/_allowance.py
+++ b/egrethall/quota/_allowance.py
@@ -244,7 +244,12 @@
         self._rounding = rounding
 
     def charge_report(
-        self, report: UsageReport, *, is_known_run: bool, synchronizes: bool = False
+        self,
+        report: UsageReport,
+        *,
+        is_known_run: bool,
+        synchronizes: bool = False,
+        idle_at_seconds: float | None = None,
     ) -> None:
         """Charges what another instance has admitted since its last report.
 
@@ -253,6 +258,8 @@
         :param is_known_run: True if an earlier message of this run was received. An
             organisation that it did not list had no admitted requests at that time.
         :param synchronizes: True if the level in the report is that of the fleet.
+        :param idle_at_seconds: clock reading of the instance's previous heartbeat, or
+            None. It did not list the organisation if no usage of it is known.
         """
         run, usage = report.run, report.usage
         self._idle_runs.pop(report.name, None)
@@ -292,7 +299,12 @@
         ):
             already_charged = previous.admitted
         newly_reported = max(0.0, usage.admitted - already_charged)
-        self._charge(newly_reported * self._compute_uncounted_ratio(previous))
+        since_seconds = self._now_seconds - self._idle_timeout_seconds
+        if previous is not None:
+            since_seconds = previous.reported_at_seconds
+        elif idle_at_seconds is not None:
+            since_seconds = idle_at_seconds
+        self._charge(newly_reported * self._compute_uncounted_ratio(since_seconds))
 
     def record_idle(self, name: str, run: int, sequence: int) -> bool:
         """Records that another instance has no requests of the organisation.
@@ -367,16 +379,13 @@
         if peer is not None:
             self._release_reservation(peer, used_up=True)
 
-    def _compute_uncounted_ratio(self, previous: PeerUsage | None) -> float:
+    def _compute_uncounted_ratio(self, previous_at_seconds: float) -> float:
         """Returns the part of newly reported requests that the level does not include.
 
         The collector's level includes what the peer had admitted by the time when that
         level was adopted. The requests since the previous report are assumed to be
         spread evenly over the time since then.
         """
-        previous_at_seconds = self._now_seconds - self._idle_timeout_seconds
-        if previous is not None:
-            previous_at_seconds = previous.reported_at_seconds
         if previous_at_seconds >= self._answered_at_seconds:
             return 1.0
         since_seconds = self._now_seconds - previous_at_seconds
--- a/egrethall/quota/_fleet_allowances.py
+++ b/egrethall/quota/_fleet_allowances.py
@@ -57,6 +57,8 @@
     tracked_organisations: set[str]
     #: Clock reading of its last heartbeat or report.
     last_message_at_seconds: float
+    #: Clock reading of its last heartbeat; None before the first one.
+    last_heartbeat_at_seconds: float | None = None
 
 
 class FleetAllowances:
@@ -284,6 +286,7 @@
                 ),
                 is_known_run=is_known_run,
                 synchronizes=heartbeat.settled and not self._has_collectors,
+                idle_at_seconds=peer.last_heartbeat_at_seconds,
             )
         for organisation in peer.tracked_organisations - heartbeat.usage.keys():
             allowance = self._allowances.get(organisation)
@@ -291,6 +294,7 @@
                 heartbeat.name, heartbeat.run, heartbeat.sequence
             ):
                 peer.tracked_organisations.discard(organisation)
+        peer.last_heartbeat_at_seconds = self._clock.monotonic_seconds()
 
     def _update_peer(self, name: str, run: int) -> tuple[_Peer, bool]:
         """Records a message of a peer; returns it and whether its run was known."""
