Count a crash only if the upstream no longer responds

Cause: a request whose connection broke at two upstreams was refused for 30 s at every instance. Upstreams that are full reset connections, and responses are lost to resets; requests of one organisation to one path without a body count as the same request.

Change: after a broken connection the upstream is probed in a task, and the crash counts only if the probe fails. Mode full resets before a request runs.

--- a/egrethall/entry/_daemon.py
+++ b/egrethall/entry/_daemon.py
@@ -20,6 +20,7 @@
     ServingState,
 )
 from egrethall.entry._connection_pool import ConnectionPool
+from egrethall.entry._crash_observer import CrashObserver
 from egrethall.entry._event_loop import make_event_loop
 from egrethall.entry._hedger import Hedger
 from egrethall.entry._logs import configure_entry_logs
@@ -219,6 +220,7 @@
             Hedger(placer, prober, self._retry_budget, self._crash_guard, self._clock),
             self._retry_budget,
             self._crash_guard,
+            CrashObserver(self._upstream_table, prober, self._crash_guard),
             self._clock,
             self._random,
         )
--- a/egrethall/entry/_prober.py
+++ b/egrethall/entry/_prober.py
@@ -1,5 +1,6 @@
 """Probes upstreams for their load on the connections that requests then use."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import anyio
@@ -110,6 +111,22 @@
             batch.probed_names.add(state.name)
             self._tasks.start_soon(self._run_probe, state, health_path, batch)
 
+    def start_check(
+        self, state: UpstreamState, health_path: str, on_failure: Callable[[], None]
+    ) -> None:
+        """Starts a probe of one upstream; calls ``on_failure`` if it fails."""
+        self._tasks.start_soon(self._run_check, state, health_path, on_failure)
+
+    async def _run_check(
+        self, state: UpstreamState, health_path: str, on_failure: Callable[[], None]
+    ) -> None:
+        try:
+            if await self.probe_once(state, health_path) is None:
+                on_failure()
+        except Exception:
+            # An exception in one probe must not end the process.
+            logger.exception("probe failed", upstream=state.name)
+
     async def _run_probe(
         self, state: UpstreamState, health_path: str, batch: ProbeBatch
     ) -> None:
--- a/egrethall/entry/_sender.py
+++ b/egrethall/entry/_sender.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from egrethall.entry._crash_observer import CrashObserver
 from egrethall.entry._hedger import Hedger
 from egrethall.entry._placer import Placer
 from egrethall.entry._prober import ProbeResult
@@ -63,6 +64,7 @@
         hedger: Hedger,
         budget: RetryBudget,
         crashes: CrashGuard,
+        crash_observer: CrashObserver,
         clock: Clock,
         random_source: RandomSource,
     ) -> None:
@@ -71,6 +73,7 @@
         self._hedger = hedger
         self._budget = budget
         self._crashes = crashes
+        self._crash_observer = crash_observer
         self._clock = clock
         self._random = random_source
 
@@ -147,7 +150,9 @@
                 history.error_response = outcome.response
             if outcome.result is SendResult.BROKEN:
                 history.fingerprint = request.make_fingerprint(self._crashes)
-                self._crashes.observe_crash(history.fingerprint, outcome.upstream)
+                self._crash_observer.observe_broken(
+                    history.fingerprint, outcome.upstream, request.service.health_path
+                )
 
     def _take_retry(
         self, request: AdmittedRequest, history: _AttemptHistory, outcome: SendOutcome
--- a/standins/platform_upstream.py
+++ b/standins/platform_upstream.py
@@ -17,6 +17,9 @@
 
 READ_LIMIT_BYTES = 1024 * 1024
 
+#: Time for which a crashed upstream resets connections.
+CRASH_SECONDS = 3.0
+
 #: Bytes without end are sent in pieces of this size, with pauses.
 ENDLESS_PIECE = b"x" * 64 * 1024
 ENDLESS_PAUSE_SECONDS = 0.002
@@ -38,7 +41,9 @@
     #: endless-head, endless-body, endless-error or endless-refusal, whose bytes do not
     #: end before the connection does; cut-head, which ends within the head of the
     #: response; and repeat-refusal or closing-refusal, in which a refusal without a
-    #: request ID, as of an earlier probe, precedes the response while the request runs.
+    #: request ID, as of an earlier probe, precedes the response while the request runs;
+    #: full, which resets the connection before a request runs; and crash, which resets
+    #: all connections, and new ones for a while.
     mode: str = "ok"
     work_ms: float = 5.0
     healthy: bool = True
@@ -83,13 +88,20 @@
         self._behaviour = Behaviour()
         self._runs: list[Run] = []
         self._running = 0
+        self._writers: set[asyncio.StreamWriter] = set()
+        #: Clock reading until which it stays away after a crash.
+        self._down_until_seconds = 0.0
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Answers the requests of one connection."""
+        self._writers.add(writer)
         try:
             while (request := await _read_request(reader)) is not None:
+                if not request.path.startswith("/control/") and self._is_down():
+                    writer.transport.abort()
+                    return
                 if request.path.startswith("/control/"):
                     writer.write(self._control(request))
                 elif request.path == "/healthz":
@@ -100,8 +112,17 @@
         except ConnectionError:
             return
         finally:
+            self._writers.discard(writer)
             writer.close()
 
+    def _is_down(self) -> bool:
+        return time.monotonic() < self._down_until_seconds
+
+    def _crash(self) -> None:
+        self._down_until_seconds = time.monotonic() + CRASH_SECONDS
+        for writer in self._writers:
+            writer.transport.abort()
+
     def _control(self, request: HttpRequest) -> bytes:
         if request.path == "/control/runs":
             return _render(200, {}, json.dumps([vars(r) for r in self._runs]).encode())
@@ -148,6 +169,9 @@
         if behaviour.mode == "shed":
             writer.write(_render(503, {**echo, "X-Not-Executed": "1"}, b""))
             return True
+        if behaviour.mode == "full":
+            writer.transport.abort()
+            return False
         run = Run(
             attempt,
             request.method,
@@ -181,6 +205,9 @@
         if mode == "reset":
             writer.transport.abort()
             return False
+        if mode == "crash":
+            self._crash()
+            return False
         if mode == "silent":
             await asyncio.Event().wait()
         if mode.startswith("endless"):
