Keep what imports made out of garbage collections

Cause: collections, and the one at the exit, scan some ten megabytes of modules that live as long as the process. Instances are restarted often.

Change: gc.freeze() before the event loop starts.

--- a/egrethall/entry/_daemon.py
+++ b/egrethall/entry/_daemon.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import random
 import signal
 from collections.abc import Sequence
@@ -319,6 +320,9 @@
 def run_entry(settings: EntrySettings, settings_path: Path) -> None:
     """Runs an entry instance until SIGTERM."""
     configure_entry_logs(SystemClock())
+    # What the imports made lives as long as the process, so that no collection, and
+    # none at the exit, has to scan it.
+    gc.freeze()
     anyio.run(
         EntryDaemon(settings, settings_path).run,
         backend_options={"loop_factory": make_event_loop},
