Move what is kept of other instances out of the allowance

Two checks that read the former dictionary read it; the one on an instance that left checks both places, as before.

--- a/egrethall/quota/_allowance.py
+++ b/egrethall/quota/_allowance.py
@@ -1,6 +1,7 @@
 """One instance's estimate of an organisation's allowance across the fleet."""
 
 from egrethall.fleet import FleetLevel, OrganisationUsage
+from egrethall.quota._peer_usages import PeerUsages
 from egrethall.quota._usage import (
     ExcessTolerance,
     PeerUsage,
@@ -108,10 +109,7 @@
         self._rounding = 1.0
         self._demand_per_second = 0.0
         self._smoothed_demand = SmoothedDemand()
-        self._peers: dict[str, PeerUsage] = {}
-        #: Runs of the other instances that have no requests of the organisation. Most
-        #: of a large fleet have none, and a usage of each would fill the memory.
-        self._idle_runs: dict[str, int] = {}
+        self._peers = PeerUsages()
         #: False until a replacement process has adopted a level.
         self._has_level = full
         #: False until that level rests on the reports of other instances.
@@ -261,26 +259,11 @@
         :param idle_at_seconds: clock reading of the instance's previous heartbeat, or
             None. It did not list the organisation if no usage of it is known.
         """
-        run, usage = report.run, report.usage
-        self._idle_runs.pop(report.name, None)
-        previous = self._peers.get(report.name)
-        if (
-            previous is not None
-            and previous.run == run
-            and report.sequence <= previous.sequence
-        ):
+        if self._peers.is_outdated(report):
             return
-        peer = PeerUsage(
-            run,
-            report.sequence,
-            usage.period,
-            usage.admitted,
-            usage.demand_per_second,
-            self._now_seconds,
-        )
-        if previous is not None:
-            peer.smoothed_demand = previous.smoothed_demand
-        peer.smoothed_demand.add(usage.demand_per_second)
+        run, usage = report.run, report.usage
+        previous = self._peers.find(report.name)
+        self._peers.record(report, self._now_seconds)
         is_adopted = not self._has_level
         if is_adopted:
             self._has_level = True
@@ -288,7 +271,6 @@
         self._is_synchronized = self._is_synchronized or synchronizes
         if previous is not None:
             self._release_reservation(previous, used_up=previous.run != run)
-        self._peers[report.name] = peer
         # What a newly discovered run admitted before is included in the adopted level,
         # unless none of the others knew the run.
         is_included = is_adopted or (not is_known_run and report.settled)
@@ -314,9 +296,9 @@
 
         :return: True if another report without requests would change nothing.
         """
-        peer = self._peers.get(name)
+        peer = self._peers.find(name)
         if peer is None:
-            self._idle_runs[name] = run
+            self._peers.record_idle(name, run)
             return True
         if peer.run == run and sequence < peer.sequence:
             return False
@@ -330,8 +312,7 @@
         peer.smoothed_demand.add(0.0)
         if peer.smoothed_demand.per_second >= NEGLIGIBLE_DEMAND_PER_SECOND:
             return False
-        del self._peers[name]
-        self._idle_runs[name] = run
+        self._peers.record_idle(name, run)
         return True
 
     def collect(
@@ -374,10 +355,10 @@
 
     def remove_peer(self, name: str) -> None:
         """Removes an instance that has left or is no longer a member."""
-        self._idle_runs.pop(name, None)
-        peer = self._peers.pop(name, None)
+        peer = self._peers.find(name)
         if peer is not None:
             self._release_reservation(peer, used_up=True)
+        self._peers.remove(name)
 
     def _compute_uncounted_ratio(self, previous_at_seconds: float) -> float:
         """Returns the part of newly reported requests that the level does not include.
@@ -391,13 +372,6 @@
         since_seconds = self._now_seconds - previous_at_seconds
         return (self._now_seconds - self._answered_at_seconds) / since_seconds
 
-    def _list_reachable_peers(self) -> list[PeerUsage]:
-        """Returns the usage of the reachable instances, without idle ones."""
-        return [p for p in self._peers.values() if p.silent_since_seconds is None]
-
-    def _count_reachable_peers(self) -> int:
-        return len(self._list_reachable_peers()) + len(self._idle_runs)
-
     @property
     def _tokens(self) -> float:
         """Tokens available on this side of a network partition, overdraft included."""
@@ -405,18 +379,11 @@
 
     def _reserve_shares(self, silent: frozenset[str]) -> None:
         """Reserves the shares of instances that have newly fallen silent."""
-        for name in silent & self._idle_runs.keys():
-            self._peers[name] = PeerUsage(
-                self._idle_runs.pop(name), 0, 0, 0, 0.0, self._now_seconds
-            )
-        newly_silent = [
-            peer
-            for name in silent
-            if (peer := self._peers.get(name)) and peer.silent_since_seconds is None
-        ]
+        self._peers.restore_idle(silent, self._now_seconds)
+        newly_silent = self._peers.find_newly_silent(silent)
         if not newly_silent:
             return
-        reachable = self._list_reachable_peers()
+        reachable = self._peers.list_reachable()
         total = self._smoothed_demand.per_second + sum(
             peer.smoothed_demand.per_second for peer in reachable
         )
@@ -424,7 +391,7 @@
         is_demand_known = active_seconds >= self._idle_timeout_seconds
         unreserved_share = 1.0 - self._reserved_share
         tokens = max(0.0, self._tokens)
-        equal_part = 1.0 / (1 + len(reachable) + len(self._idle_runs))
+        equal_part = 1.0 / (1 + self._peers.count_reachable())
         for peer in newly_silent:
             part = equal_part
             if total > 0 and is_demand_known:
@@ -460,9 +427,9 @@
         if not self._reserved_share:
             return
         total = self._smoothed_demand.per_second + sum(
-            peer.smoothed_demand.per_second for peer in self._peers.values()
+            peer.smoothed_demand.per_second for peer in self._peers
         )
-        for peer in self._peers.values():
+        for peer in self._peers:
             if peer.silent_since_seconds is None or total <= 0:
                 continue
             if (
@@ -501,7 +468,7 @@
             elapsed_seconds -= repaying_seconds
         new_tokens = self._rate_per_second * elapsed_seconds
         if self._reserved_share:
-            for peer in self._peers.values():
+            for peer in self._peers:
                 peer.reserved_tokens += new_tokens * peer.reserved_share
         unreserved_share = 1.0 - self._reserved_share
         self._level = min(
@@ -513,7 +480,7 @@
         oldest_seconds = self._now_seconds - MAX_COLLECTOR_DATA_AGE_SECONDS
         if self._answered_at_seconds > oldest_seconds:
             return max(self._fleet_demand_per_second, self._demand_per_second)
-        reachable = self._list_reachable_peers()
+        reachable = self._peers.list_reachable()
         if self._collected_at_seconds > oldest_seconds:
             # Instances with demand report it to the collector in each round.
             reachable = [p for p in reachable if p.reported_at_seconds > oldest_seconds]
@@ -522,7 +489,7 @@
     def _compute_own_share(self) -> float:
         """Returns this instance's part of the tokens that are not reserved."""
         total = self._compute_fleet_demand()
-        min_share = MIN_SHARE_RATIO / (1 + self._count_reachable_peers())
+        min_share = MIN_SHARE_RATIO / (1 + self._peers.count_reachable())
         if total <= 0:
             return min_share
         return max(min_share, self._demand_per_second / total)
--- a/egrethall/quota/tests/steps/allowance_steps.py
+++ b/egrethall/quota/tests/steps/allowance_steps.py
@@ -732,7 +732,8 @@
     fleet = context.collector_fleet
     allowances = fleet.allowances[fleet.collector]
     assert allowances._peers[fleet.first_reporter].run == 2
-    assert allowances._allowances["atlas"]._peers[fleet.first_reporter].run == 2
+    peers = allowances._allowances["atlas"]._peers
+    assert peers.find(fleet.first_reporter).run == 2
     assert fleet.find_level(fleet.collector) == count, fleet.find_level(fleet.collector)
 
 
@@ -766,7 +767,9 @@
     fleet = context.collector_fleet
     allowances = fleet.allowances[fleet.collector]
     assert fleet.first_reporter not in allowances._peers
-    assert fleet.first_reporter not in allowances._allowances["atlas"]._peers
+    peers = allowances._allowances["atlas"]._peers
+    assert peers.find(fleet.first_reporter) is None
+    assert fleet.first_reporter not in peers._idle_runs
 
 
 @given("{count:d} instances that select collectors")
