--- a/egrethall/fleet/_members.py
+++ b/egrethall/fleet/_members.py
@@ -157,7 +157,7 @@
             count = min(FIRST_CONTACTS_PER_ROUND, len(unsent))
             names.update(self._random.sample(unsent, count))
         self._unsent -= names
-        addresses = [self._members[name].address for name in names]
+        addresses = [self._members[name].address for name in sorted(names)]
         return addresses + self.find_unconfirmed_seeds()
 
     def find_uninformed(self, addresses: Iterable[str]) -> frozenset[str]:
