Hand a collector's count over while an organisation sends too much

A collector that takes over began at its own old level; until then each instance took its share of tokens that refilled at every one of them.

Change: a collector that stops says so in its answers. A collector adopts the lowest level that new reporters know and charges what no collector has counted. While the last report is unanswered, an instance admits its share of new tokens only.

--- a/egrethall/entry/_peer_links.py
+++ b/egrethall/entry/_peer_links.py
@@ -205,6 +205,7 @@
             self._allowances.charge_reports(reports),
             self._settings.peer_address,
             reports.recipient,
+            self._is_leaving(),
         )
 
     def receive_answer(self, answer: CollectorAnswer) -> None:
--- a/egrethall/fleet/_messages.py
+++ b/egrethall/fleet/_messages.py
@@ -85,6 +85,8 @@
     address: str = ""
     #: Name of the instance to which the reports were addressed.
     recipient: str = ""
+    #: True if the collector is about to exit, so that another one is needed.
+    leaving: bool = False
 
 
 @dataclass(frozen=True)
@@ -244,11 +246,12 @@
         },
         answer.address,
         answer.recipient,
+        answer.leaving,
     )
 
 
 def _decode_answer(fields: Sequence[Any]) -> CollectorAnswer:
-    name, levels, address, recipient = fields
+    name, levels, address, recipient, leaving = fields
     return CollectorAnswer(
         str(name),
         {
@@ -259,6 +262,7 @@
         },
         _check_address(address),
         str(recipient),
+        bool(leaving),
     )
 
 
--- a/egrethall/quota/_allowance.py
+++ b/egrethall/quota/_allowance.py
@@ -1,6 +1,6 @@
 """One instance's estimate of an organisation's allowance across the fleet."""
 
-from egrethall.fleet import FleetLevel, OrganisationUsage
+from egrethall.fleet import ROUND_SECONDS, FleetLevel, OrganisationUsage
 from egrethall.quota._peer_usages import PeerUsages
 from egrethall.quota._usage import (
     ExcessTolerance,
@@ -172,11 +172,15 @@
         )
         self._level = min(self._level, burst)
 
-    def try_admit(self, now_seconds: float, *, joining: bool = False) -> bool:
+    def try_admit(
+        self, now_seconds: float, *, joining: bool = False, unanswered: bool = False
+    ) -> bool:
         """Takes a token for one request; returns False if there is none.
 
         :param joining: True while a replacement process learns of the others. Without
             their reports it cannot know its share of the tokens.
+        :param unanswered: True if the collector has not answered the last report, so
+            that it is not known what the others have admitted since.
         """
         self._advance(now_seconds)
         self._demand_per_second += 1.0 / DEMAND_AVERAGING_SECONDS
@@ -185,8 +189,13 @@
             return True
         if joining and not self._is_synchronized:
             return self._admit_unsynchronized()
-        limit = self._round_tokens * self._compute_own_share()
-        if self._level > 0 and not joining:
+        if unanswered:
+            # Of the new tokens only, since the others use up the rest as well.
+            new_tokens = self._rate_per_second * ROUND_SECONDS
+            limit = min(self._round_tokens, new_tokens) * self._compute_last_share()
+        else:
+            limit = self._round_tokens * self._compute_own_share()
+        if self._level > 0 and not joining and not unanswered:
             limit = max(limit, MIN_REQUESTS_PER_ROUND)
         elif limit < 1.0:
             limit += self._rounding
@@ -280,6 +289,8 @@
             usage.period,
         ):
             already_charged = previous.admitted
+        # What a collector has counted is included in the level that it has answered.
+        already_charged = max(already_charged, usage.counted)
         newly_reported = max(0.0, usage.admitted - already_charged)
         since_seconds = self._now_seconds - self._idle_timeout_seconds
         if previous is not None:
@@ -323,9 +334,16 @@
         :param fleet_size: number of instances that may report while this one is new;
             those that have not yet count with the average demand. 0 if all have.
         """
+        usage = report.usage
+        if usage.counted and not self._peers.was_collected(
+            report.name, self._now_seconds - MAX_COLLECTOR_DATA_AGE_SECONDS
+        ):
+            # Another collector may have counted it until now, and others with it. The
+            # reporter knows that collector's level.
+            self._level = min(self._level, usage.level)
         self._collected_at_seconds = self._now_seconds
         self.charge_report(report, is_known_run=is_known_run)
-        usage = report.usage
+        self._peers.record_collected(report.name, self._now_seconds)
         if not is_known_run:
             # No collector has counted these, so that no adopted level includes them.
             self._charge(usage.admitted - usage.counted)
@@ -486,6 +504,11 @@
             reachable = [p for p in reachable if p.reported_at_seconds > oldest_seconds]
         return self._demand_per_second + sum(p.demand_per_second for p in reachable)
 
+    def _compute_last_share(self) -> float:
+        """Returns this instance's part by the collector's last answer, however old."""
+        total = max(self._fleet_demand_per_second, self._compute_fleet_demand())
+        return self._demand_per_second / total
+
     def _compute_own_share(self) -> float:
         """Returns this instance's part of the tokens that are not reserved."""
         total = self._compute_fleet_demand()
--- a/egrethall/quota/_collectors.py
+++ b/egrethall/quota/_collectors.py
@@ -111,12 +111,26 @@
         """Names of the instances that are excluded from selection."""
         return self._excluded_until_seconds.keys()
 
+    def lacks_answer(self, organisation: str) -> bool:
+        """Returns whether the last report for an organisation was not answered."""
+        if not self._unanswered_reports:
+            return False
+        return self.select_recipient(organisation) in self._unanswered_reports
+
     def record_report(self, collector: str) -> None:
         """Counts a report sent to a collector as unanswered."""
         self._unanswered_reports[collector] = (
             self._unanswered_reports.get(collector, 0) + 1
         )
 
+    def exclude(self, collector: str) -> None:
+        """Excludes a collector that is about to exit from selection."""
+        self._excluded_until_seconds[collector] = (
+            self._clock.monotonic_seconds() + EXCLUSION_SECONDS
+        )
+        self._candidates -= {collector}
+        self._forwarders -= {collector}
+
     def record_answer(self, collector: str) -> None:
         """Resets the count of unanswered reports and ends an exclusion."""
         self._unanswered_reports.pop(collector, None)
--- a/egrethall/quota/_fleet_allowances.py
+++ b/egrethall/quota/_fleet_allowances.py
@@ -115,7 +115,11 @@
         """Takes a token for one request; raises :class:`RefusedError` without one."""
         allowance = self._allowances.get(organisation)
         now_seconds = self._clock.monotonic_seconds()
-        if allowance is None or allowance.try_admit(now_seconds, joining=self.joining):
+        if allowance is None or allowance.try_admit(
+            now_seconds,
+            joining=self.joining,
+            unanswered=self._collector_selector.lacks_answer(organisation),
+        ):
             return
         wait_seconds = max(MIN_RETRY_AFTER_SECONDS, allowance.estimate_wait_seconds())
         # Jitter, so that callers that are refused together do not retry together.
@@ -258,6 +262,8 @@
         """Adopts the levels in a collector's answer."""
         self._collector_selector.record_answer(answer.name)
         self._collector_selector.record_answer(answer.recipient)
+        if answer.leaving:
+            self._collector_selector.exclude(answer.name)
         now_seconds = self._clock.monotonic_seconds()
         for organisation, level in answer.levels.items():
             allowance = self._allowances.get(organisation)
--- a/egrethall/quota/_peer_usages.py
+++ b/egrethall/quota/_peer_usages.py
@@ -48,10 +48,23 @@
         previous = self._usages.get(report.name)
         if previous is not None:
             peer.smoothed_demand = previous.smoothed_demand
+            peer.collected_at_seconds = previous.collected_at_seconds
         peer.smoothed_demand.add(usage.demand_per_second)
         self._usages[report.name] = peer
         self._idle_runs.pop(report.name, None)
 
+    def was_collected(self, name: str, since_seconds: float) -> bool:
+        """Returns whether an instance has reported to this one as the collector.
+
+        :param since_seconds: clock reading from which reports are considered.
+        """
+        known = self._usages.get(name)
+        return known is not None and known.collected_at_seconds >= since_seconds
+
+    def record_collected(self, name: str, now_seconds: float) -> None:
+        """Records that an instance has reported to this one as the collector."""
+        self._usages[name].collected_at_seconds = now_seconds
+
     def record_idle(self, name: str, run: int) -> None:
         """Replaces what is kept of an instance by its run."""
         self._usages.pop(name, None)
--- a/egrethall/quota/_usage.py
+++ b/egrethall/quota/_usage.py
@@ -71,6 +71,8 @@
     demand_per_second: float
     #: Clock reading at which the report arrived.
     reported_at_seconds: float
+    #: Clock reading of its last report to this instance as the collector.
+    collected_at_seconds: float = float("-inf")
     smoothed_demand: SmoothedDemand = field(default_factory=SmoothedDemand)
     #: Clock reading at which it fell silent; None while it is reachable.
     silent_since_seconds: float | None = None
--- a/egrethall/quota/tests/restarts.feature
+++ b/egrethall/quota/tests/restarts.feature
@@ -37,3 +37,20 @@
       | 312       | 112  | 46   | 29    | 20    | 3    | 6       |
       | 18        | 18   | 74   | 46    | 100   | 4    | 46      |
       | 18        | 18   | 74   | 46    | 10    | 5    | 2       |
+
+  Scenario Outline: The collector of an organisation goes while it sends too much
+    Given <instances> instances that share a rate and a burst of <rate> at <used>
+    And random arrivals and phases with seed <seed>
+    When the organisation sends <usual>, then <demand> requests a second, and its collector <event> <after> s later
+    Then no window of 5 s holds more admitted requests than are tolerated
+    And from 4 s after the restart at least half of the rate is used
+
+    Examples:
+      | instances | used | rate | usual | demand | event | after | seed |
+      | 136       | 60   | 42   | 26    | 197    | fails | 1.0   | 1    |
+      | 136       | 100  | 42   | 26    | 197    | fails | 1.0   | 2    |
+      | 136       | 60   | 42   | 26    | 197    | stops | 1.0   | 3    |
+      | 136       | 100  | 42   | 26    | 197    | stops | 0.5   | 4    |
+      | 136       | 60   | 74   | 46    | 430    | stops | 3.0   | 5    |
+      | 312       | 70   | 30   | 19    | 174    | stops | 1.0   | 6    |
+      | 312       | 70   | 30   | 19    | 174    | fails | 2.0   | 7    |
