--- a/egrethall/quota/_collectors.py
+++ b/egrethall/quota/_collectors.py
@@ -20,6 +20,10 @@
 #: begun.
 MAX_UNANSWERED_REPORTS = 2
 
+#: Time after which the answer to a report is overdue. It takes a few milliseconds, and
+#: some tens more if an instance is busy.
+ANSWER_TIMEOUT_SECONDS = 0.1
+
 #: Time for which a collector that does not answer is excluded from selection. About the
 #: time after which a large fleet detects that an instance is silent.
 EXCLUSION_SECONDS = 10.0
@@ -48,6 +52,8 @@
         self._forwarders: frozenset[str] = frozenset()
         #: Consecutive unanswered reports, by collector.
         self._unanswered_reports: dict[str, int] = {}
+        #: Clock readings at which the first of them were sent, by collector.
+        self._unanswered_since_seconds: dict[str, float] = {}
         #: Clock readings until which collectors are excluded, by collector.
         self._excluded_until_seconds: dict[str, float] = {}
         self._weigh = lru_cache(MAX_CACHED_WEIGHTS)(weigh)
@@ -62,6 +68,7 @@
             if count > MAX_UNANSWERED_REPORTS:
                 logger.info("collector does not answer", collector=name, reports=count)
                 del self._unanswered_reports[name]
+                self._unanswered_since_seconds.pop(name, None)
                 self._excluded_until_seconds[name] = now_seconds + EXCLUSION_SECONDS
         self._excluded_until_seconds = {
             name: until_seconds
@@ -112,13 +119,20 @@
         return self._excluded_until_seconds.keys()
 
     def lacks_answer(self, organisation: str) -> bool:
-        """Returns whether the last report for an organisation was not answered."""
-        if not self._unanswered_reports:
+        """Returns whether an answer to a report for an organisation is overdue."""
+        if not self._unanswered_since_seconds:
             return False
-        return self.select_recipient(organisation) in self._unanswered_reports
+        sent_at_seconds = self._unanswered_since_seconds.get(
+            self.select_recipient(organisation), float("inf")
+        )
+        waiting_seconds = self._clock.monotonic_seconds() - sent_at_seconds
+        return waiting_seconds > ANSWER_TIMEOUT_SECONDS
 
     def record_report(self, collector: str) -> None:
         """Counts a report sent to a collector as unanswered."""
+        self._unanswered_since_seconds.setdefault(
+            collector, self._clock.monotonic_seconds()
+        )
         self._unanswered_reports[collector] = (
             self._unanswered_reports.get(collector, 0) + 1
         )
@@ -134,4 +148,5 @@
     def record_answer(self, collector: str) -> None:
         """Resets the count of unanswered reports and ends an exclusion."""
         self._unanswered_reports.pop(collector, None)
+        self._unanswered_since_seconds.pop(collector, None)
         self._excluded_until_seconds.pop(collector, None)
