Log and count how long a call to the store has been open

`record source lost` now states the time limit, the age of the call and the time since the last answer; two gauges show the age of the open call and of the last answer. No decision uses them.

--- a/egrethall/entry/_daemon.py
+++ b/egrethall/entry/_daemon.py
@@ -99,7 +99,7 @@
         self._serving = ServingState()
         self._record_cache = RecordCache()
         self._source_status = SourceStatus(self._clock)
-        self._metrics = RequestMetrics(self._source_status.calls)
+        self._metrics = RequestMetrics(self._source_status)
         self._upstream_table = UpstreamTable(self._clock, self._random, settings.name)
         self._crash_guard = CrashGuard(self._clock)
         self._pool = ConnectionPool(self._clock)
--- a/egrethall/entry/_metrics.py
+++ b/egrethall/entry/_metrics.py
@@ -6,6 +6,8 @@
 from itertools import accumulate
 from typing import TYPE_CHECKING
 
+from egrethall.records import SourceStatus
+
 if TYPE_CHECKING:
     from prometheus_client.core import Metric
 
@@ -38,9 +40,8 @@
     replaced often and scraped rarely, so it is imported by the first scrape.
     """
 
-    def __init__(self, source_calls: Counter[str] | None = None) -> None:
-        #: Calls to the record source by outcome.
-        self.source_calls = Counter() if source_calls is None else source_calls
+    def __init__(self, source_status: SourceStatus) -> None:
+        self._source_status = source_status
         #: Completed requests by service and outcome.
         self.requests: Counter[tuple[str, str]] = Counter()
         #: Attempts by service, retries and hedged attempts included.
@@ -93,14 +94,7 @@
         for service, count in self.limited_requests.items():
             limited.add_metric([service], count)
         yield limited
-        source_calls = CounterMetricFamily(
-            "egrethall_record_source_calls",
-            "Calls to the record source by outcome.",
-            labels=["outcome"],
-        )
-        for outcome, count in self.source_calls.items():
-            source_calls.add_metric([outcome], count)
-        yield source_calls
+        yield from _collect_source_metrics(self._source_status)
         latencies = HistogramMetricFamily(
             "egrethall_request_seconds",
             "Time from the head of a request to its answer.",
@@ -135,3 +129,26 @@
         registry = CollectorRegistry()
         registry.register(self)
         return bytes(generate_latest(registry))
+
+
+def _collect_source_metrics(status: SourceStatus) -> Iterator["Metric"]:
+    from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+
+    calls = CounterMetricFamily(
+        "egrethall_record_source_calls",
+        "Calls to the record source by outcome.",
+        labels=["outcome"],
+    )
+    for outcome, count in status.calls.items():
+        calls.add_metric([outcome], count)
+    yield calls
+    yield GaugeMetricFamily(
+        "egrethall_record_source_open_call_seconds",
+        "Age of the call to the record source in progress; 0 without one.",
+        value=status.measure_open_call_seconds(),
+    )
+    yield GaugeMetricFamily(
+        "egrethall_record_source_answer_age_seconds",
+        "Time since the record source last answered this instance.",
+        value=status.measure_seconds_since_answer(),
+    )
--- a/egrethall/platform/_store.py
+++ b/egrethall/platform/_store.py
@@ -114,9 +114,14 @@
         try:
             with anyio.fail_after(timeout_seconds):
                 status, headers, body = await self._send_request(target)
-        except (HttpConnectionError, TimeoutError) as error:
+        except HttpConnectionError as error:
             await self.close()
-            raise RecordSourceError(f"{self._address}: {error or 'timeout'}") from error
+            raise RecordSourceError(f"{self._address}: {error}") from error
+        except TimeoutError as error:
+            await self.close()
+            raise RecordSourceError(
+                f"{self._address}: no response within {timeout_seconds:g} s"
+            ) from error
         except BaseException:
             await self.close()
             raise
--- a/egrethall/records/_follower.py
+++ b/egrethall/records/_follower.py
@@ -1,5 +1,6 @@
 """Keeps the record cache up to date with the record source."""
 
+import math
 from collections import Counter
 from collections.abc import Awaitable, Callable
 
@@ -52,6 +53,10 @@
         self._restored_at_seconds = float("-inf")
         #: None before the first records.
         self._era: int | None = None
+        #: Clock reading at the start of the open call; None without one.
+        self._called_at_seconds: float | None = None
+        #: Clock reading of the last answer; None before the first one.
+        self._answered_at_seconds: float | None = None
         #: Calls to the source by outcome.
         self.calls: Counter[str] = Counter()
 
@@ -70,6 +75,26 @@
         """Returns the seconds since the source was restored; infinite if never."""
         return self._clock.monotonic_seconds() - self._restored_at_seconds
 
+    def measure_open_call_seconds(self) -> float:
+        """Returns the age of the call that waits for its answer; 0 without one."""
+        if self._called_at_seconds is None:
+            return 0.0
+        return self._clock.monotonic_seconds() - self._called_at_seconds
+
+    def measure_seconds_since_answer(self) -> float:
+        """Returns the seconds since the source last answered; infinite if never."""
+        if self._answered_at_seconds is None:
+            return math.inf
+        return self._clock.monotonic_seconds() - self._answered_at_seconds
+
+    def observe_call(self) -> None:
+        """Records the start of a call."""
+        self._called_at_seconds = self._clock.monotonic_seconds()
+
+    def observe_cancellation(self) -> None:
+        """Records that a call was given up before its outcome was known."""
+        self._called_at_seconds = None
+
     def observe_era(self, era: int) -> None:
         """Records the era of received records; a higher one ends an outage."""
         known, self._era = self._era, era if self._era is None else max(era, self._era)
@@ -91,6 +116,7 @@
     def observe_success(self, revision: int) -> None:
         """Records that a call succeeded."""
         self.calls["answered"] += 1
+        self._observe_answer()
         if self._available:
             return
         self._available = True
@@ -100,14 +126,26 @@
     def observe_history_loss(self) -> None:
         """Records a call for changes that the source no longer knows."""
         self.calls["history-lost"] += 1
+        self._observe_answer()
 
     def observe_failure(self, error: RecordSourceError) -> None:
         """Records that a call failed."""
         self.calls["failed"] += 1
+        open_seconds = self.measure_open_call_seconds()
+        self._called_at_seconds = None
         if self._available:
-            logger.warning("record source lost", error=str(error))
+            logger.warning(
+                "record source lost",
+                error=str(error),
+                open_seconds=round(open_seconds, 3),
+                since_answer_seconds=round(self.measure_seconds_since_answer(), 3),
+            )
         self._available = False
 
+    def _observe_answer(self) -> None:
+        self._called_at_seconds = None
+        self._answered_at_seconds = self._clock.monotonic_seconds()
+
 
 class RecordFollower:
     """Reads all records once and then watches for changes."""
@@ -205,8 +243,7 @@
             return
         if others_read:
             self._status.discard_outage()
-        if self._watch_scope is not None:
-            self._watch_scope.cancel()
+        self._cancel_watch()
 
     def observe_peer_revision(self, revision: int) -> None:
         """Restarts the watch if it lags behind another instance for too long."""
@@ -222,10 +259,17 @@
                 revision=describe_revision(revision),
             )
             self._lagging_since_seconds = None
-            self._watch_scope.cancel()
+            self._cancel_watch()
+
+    def _cancel_watch(self) -> None:
+        if self._watch_scope is None:
+            return
+        self._status.observe_cancellation()
+        self._watch_scope.cancel()
 
     async def _read_once(self, needs_snapshot: bool) -> None:
         """Makes one call to the source: a snapshot or a watch."""
+        self._status.observe_call()
         if needs_snapshot:
             batch = await self._source.read_all()
             self._status.observe_success(batch.revision)
