Add failing tests of a store that leaves calls without an answer

For the tests, the handling of one datagram is a method of its own and PeerLinks takes the function that reads records from a peer as an argument; no logic has been changed.

--- a/egrethall/entry/_peer_links.py
+++ b/egrethall/entry/_peer_links.py
@@ -1,6 +1,6 @@
 """Exchange of heartbeats, usage reports and records with the other instances."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import replace
 
 import anyio
@@ -25,7 +25,13 @@
     RecordFollower,
     SourceStatus,
 )
-from egrethall.types import Clock, Record, RecordSourceError, describe_revision
+from egrethall.types import (
+    Clock,
+    Record,
+    RecordBatch,
+    RecordSourceError,
+    describe_revision,
+)
 
 #: How long an instance that reads the store waits for its own watch before it reads new
 #: records from a peer.
@@ -35,6 +41,9 @@
 #: readable when a network partition splits a large fleet.
 MAX_LOGGED_NAMES = 8
 
+#: Returns the records that the instance at an address has changed after a revision.
+PeerRecordReader = Callable[[str, int], Awaitable[RecordBatch]]
+
 logger = structlog.get_logger(__name__)
 
 
@@ -56,6 +65,7 @@
         crash_guard: CrashGuard,
         is_leaving: Callable[[], bool],
         clock: Clock,
+        read_records: PeerRecordReader = read_records_from_peer,
     ) -> None:
         self._settings = settings
         self._run_id = run_id
@@ -67,6 +77,7 @@
         self._crash_guard = crash_guard
         self._is_leaving = is_leaving
         self._clock = clock
+        self._read_records = read_records
         self._reader_election = ReaderElection(settings.name, clock)
         self._others_read = False
         #: Whether a reader of another availability zone announces changes to all zones.
@@ -247,7 +258,7 @@
             if source is None:
                 continue
             try:
-                batch = await read_records_from_peer(
+                batch = await self._read_records(
                     source.address, self._record_cache.revision
                 )
             except RecordSourceError as error:
--- a/egrethall/entry/tests/operations.feature
+++ b/egrethall/entry/tests/operations.feature
@@ -32,6 +32,11 @@
       | status 429 |
       | silence    |
 
+  Scenario: Changes reach instances whose calls to the store were never answered
+    Given the store is silent for both instances for 2 s
+    When configuration version 2 revokes key cuka-key
+    Then within 3 s both instances answer the revoked key with status 401
+
   Scenario: All records are read again after the store has lost its history
     Given store requests of entry-1 fail with status 503
     And store requests of entry-0 fail with status 503
--- a/egrethall/entry/tests/steps/operation_steps.py
+++ b/egrethall/entry/tests/steps/operation_steps.py
@@ -24,6 +24,15 @@
     context.fleet.set_store_faults(entry, **STORE_FAULTS[fault])
 
 
+@given("the store is silent for both instances for {seconds:d} s")
+def step_impl(context, seconds):
+    for entry in context.fleet.entry_names:
+        context.fleet.set_store_faults(entry, silent=True)
+    time.sleep(seconds)
+    for entry in context.fleet.entry_names:
+        context.fleet.set_store_faults(entry)
+
+
 @when("upstream {name} is draining")
 def step_impl(context, name):
     context.fleet.publish_upstream(name, state="draining", sequence=2)
--- /dev/null
+++ b/egrethall/entry/tests/virtual_fleet.py
@@ -0,0 +1,205 @@
+"""A fleet of entry instances that follow a store, in virtual time without sockets."""
+
+import asyncio
+import random
+
+import anyio
+
+from egrethall.entry._peer_links import PeerLinks
+from egrethall.entry._settings import EntryBounds, EntrySettings
+from egrethall.entry.tests.virtual_time import LoopClock
+from egrethall.fleet import ROUND_SECONDS, FleetMembers
+from egrethall.placement import CrashGuard
+from egrethall.quota import ExcessTolerance, FleetAllowances
+from egrethall.records import RecordCache, RecordFollower, SourceStatus
+from egrethall.types import (
+    Record,
+    RecordBatch,
+    RecordSourceError,
+)
+
+STORE_DELAY_SECONDS = 0.004
+NETWORK_DELAY_SECONDS = 0.001
+
+#: Instances start within this time of each other.
+START_SPREAD_SECONDS = 0.3
+
+BOUNDS = EntryBounds(5.0, 0.25, 20.0, 0.2, 58.0, 6.0)
+EXCESS = ExcessTolerance(5.0, 0.25, 20.0)
+
+
+class VirtualStore:
+    """Records with one history, which may answer nothing to some instances."""
+
+    def __init__(self):
+        self.changes = []
+        self.changed = anyio.Event()
+        self.silent = set()
+        #: Calls of an instance that were open when the store fell silent for it.
+        self.lost_until = {}
+        self.delay_seconds = STORE_DELAY_SECONDS
+        self.calls = []
+
+    @property
+    def revision(self):
+        return 1 + len(self.changes)
+
+    def fall_silent(self, names):
+        """Answers nothing to ``names`` until it recovers; open calls stay so."""
+        self.silent |= set(names)
+        self.lost_until |= dict.fromkeys(names, len(self.calls))
+
+    def recover(self):
+        self.lost_until |= dict.fromkeys(self.silent, len(self.calls))
+        self.silent = set()
+
+    def write(self):
+        self.changes.append(Record("op/config", self.revision + 1, b"configuration"))
+        self.changed.set()
+        self.changed = anyio.Event()
+
+
+class VirtualStoreClient:
+    """What one instance reads of the store."""
+
+    def __init__(self, store, name):
+        self.store = store
+        self.name = name
+
+    async def read_all(self):
+        await self.answer(await self.call())
+        records = tuple(self.store.changes[-1:])
+        return RecordBatch(self.store.revision, records, whole=True)
+
+    async def wait_for_changes(self, after_revision):
+        return await self.watch(after_revision, 20.0, 3.0)
+
+    async def watch(self, after_revision, wait_seconds, timeout_seconds):
+        try:
+            with anyio.fail_after(wait_seconds + timeout_seconds):
+                number = await self.call()
+                with anyio.move_on_after(wait_seconds):
+                    while self.store.revision <= after_revision:
+                        await self.store.changed.wait()
+                await self.answer(number)
+        except TimeoutError as error:
+            raise RecordSourceError("no response") from error
+        newer = [r for r in self.store.changes if r.revision > after_revision]
+        return RecordBatch(self.store.revision, tuple(newer))
+
+    async def call(self):
+        self.store.calls.append(self.name)
+        number = len(self.store.calls)
+        await anyio.sleep(self.store.delay_seconds / 2)
+        return number
+
+    async def answer(self, number):
+        lost_until = self.store.lost_until.get(self.name, 0)
+        if self.name in self.store.silent or number <= lost_until:
+            await anyio.sleep_forever()
+        await anyio.sleep(self.store.delay_seconds / 2)
+
+
+class VirtualInstance:
+    """The parts of an entry instance that follow the store, and its peer links."""
+
+    def __init__(self, fleet, name, zone, address):
+        self.fleet = fleet
+        self.zone = zone
+        self.address = address
+        clock = fleet.clock
+        rng = random.Random(f"{fleet.seed}-{name}")
+        seeds = fleet.seeds
+        settings = EntrySettings(
+            name, zone, address, address, address, address, seeds, address, True, BOUNDS
+        )
+        self.start_seconds = rng.uniform(0, START_SPREAD_SECONDS)
+        members = FleetMembers(name, address, seeds, ROUND_SECONDS, clock, rng)
+        self.cache = RecordCache()
+        self.received_at = {}
+        status = SourceStatus(clock)
+        self.follower = RecordFollower(
+            VirtualStoreClient(fleet.store, name), self.cache, status, clock, rng
+        )
+        self.links = PeerLinks(
+            settings,
+            1,
+            members,
+            self.cache,
+            self.follower,
+            status,
+            FleetAllowances(EXCESS, True, clock, rng, name),
+            CrashGuard(clock),
+            is_leaving=lambda: False,
+            clock=clock,
+            read_records=fleet.read_records,
+        )
+        self.cache.subscribe(self.record_arrivals)
+
+    def record_arrivals(self, records):
+        for record in records:
+            now_seconds = self.fleet.clock.monotonic_seconds()
+            for revision in range(1, record.revision + 1):
+                self.received_at.setdefault(revision, now_seconds)
+
+    async def run(self):
+        await anyio.sleep(self.start_seconds)
+        exchange, network = self.links._exchange, self.fleet
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.follower.run)
+            tasks.start_soon(exchange._announce, network)
+            tasks.start_soon(self.links._read_records_from_peers)
+            while True:
+                exchange._send_round(network)
+                await anyio.sleep(ROUND_SECONDS)
+
+
+class VirtualFleet:
+    """Instances of some availability zones, their network and their store."""
+
+    def __init__(self, sizes, seed):
+        self.seed = seed
+        self.random = random.Random(seed)
+        self.clock = LoopClock()
+        self.store = VirtualStore()
+        self.seeds = tuple(f"10.{zone}.0.0:80" for zone in range(min(3, len(sizes))))
+        self.instances = {}
+        for zone, size in enumerate(sizes):
+            letter = chr(ord("a") + zone)
+            for number in range(size):
+                name, address = f"{letter}{number}", f"10.{zone}.0.{number}:80"
+                self.instances[name] = VirtualInstance(self, name, letter, address)
+        self.by_address = {i.address: i for i in self.instances.values()}
+
+    def find_readers(self):
+        return [n for n, i in self.instances.items() if i.follower.is_reading]
+
+    def sendto(self, datagram, host_and_port):
+        host, port = host_and_port
+        asyncio.get_running_loop().call_later(
+            NETWORK_DELAY_SECONDS, self.deliver, datagram, f"{host}:{port}"
+        )
+
+    def deliver(self, datagram, address):
+        recipient = self.by_address[address]
+        recipient.links._exchange._receive_datagram(datagram, self)
+
+    async def read_records(self, address, after_revision):
+        await anyio.sleep(3 * NETWORK_DELAY_SECONDS)
+        return self.by_address[address].cache.find_changes(after_revision)
+
+    async def run(self, play):
+        async with anyio.create_task_group() as tasks:
+            for instance in self.instances.values():
+                tasks.start_soon(instance.run)
+            await play()
+            tasks.cancel_scope.cancel()
+
+    def find_late(self, revision, limit_seconds, names):
+        """Returns the instances that lack a change at ``limit_seconds``."""
+        return sorted(
+            name
+            for name in names
+            if self.instances[name].received_at.get(revision, float("inf"))
+            > limit_seconds
+        )
--- a/egrethall/fleet/_gossip.py
+++ b/egrethall/fleet/_gossip.py
@@ -192,19 +192,22 @@
             except anyio.BrokenResourceError as error:
                 logger.error("heartbeat socket failed", error=str(error))
                 raise
-            try:
-                message = decode_message(datagram)
-            except MalformedMessageError as error:
-                self._malformed_count += 1
-                if self._malformed_count == 1:
-                    logger.warning("malformed message dropped", error=str(error))
-                continue
-            if isinstance(message, UsageReports):
-                self._receive_reports(message, sender)
-            elif isinstance(message, CollectorAnswer):
-                self._participant.receive_answer(message)
-            else:
-                self._receive_heartbeat(message, sender)
+            self._receive_datagram(datagram, sender)
+
+    def _receive_datagram(self, datagram: bytes, sender: socket.socket) -> None:
+        try:
+            message = decode_message(datagram)
+        except MalformedMessageError as error:
+            self._malformed_count += 1
+            if self._malformed_count == 1:
+                logger.warning("malformed message dropped", error=str(error))
+            return
+        if isinstance(message, UsageReports):
+            self._receive_reports(message, sender)
+        elif isinstance(message, CollectorAnswer):
+            self._participant.receive_answer(message)
+        else:
+            self._receive_heartbeat(message, sender)
 
     def _receive_reports(self, reports: UsageReports, sender: socket.socket) -> None:
         usage = dict(reports.usage)
