Have the store answer its readers every second, and hand over when it does not

Each reader waited with one call for 20 s and 3 s more; calls that the store had lost kept their connections, so that keep-alive showed nothing, and the other instances left reading to readers that said they read.

Calls now wait for a second at most and fail half a second later, or 1.5 s if the store answers slowly. A reader whose calls fail tells its zone at once and pauses, and as many instances as may call together start without waiting for each other. An instance counts as a reader from its first answer on; before, one that had only begun to call made others leave reading to it. A connection is closed when reading stops, and keep-alive is no longer needed.

--- a/egrethall/entry/_peer_links.py
+++ b/egrethall/entry/_peer_links.py
@@ -80,11 +80,14 @@
         self._read_records = read_records
         self._reader_election = ReaderElection(settings.name, clock)
         self._others_read = False
+        #: Names of the other instances of the zone that read the store.
+        self._zone_readers: frozenset[str] = frozenset()
         #: Whether a reader of another availability zone announces changes to all zones.
         self._is_backup = False
         self._sequence = 0
         self._exchange = FleetExchange(settings.peer_address, members, self)
         record_cache.subscribe(self._announce_records)
+        record_follower.subscribe_to_outages(self._leave_to_other_readers)
         self._silent_names: frozenset[str] = frozenset()
         self._record_sources = RecordSources(settings.availability_zone, clock)
         self._peer_ahead = anyio.Event()
@@ -98,7 +101,12 @@
 
     def _announce_records(self, _: tuple[Record, ...]) -> None:
         if self._record_follower.is_reading:
-            self._exchange.announce_records(to_other_zones=not self._is_backup)
+            self._exchange.announce(to_other_zones=not self._is_backup)
+
+    def _leave_to_other_readers(self) -> None:
+        """Tells the zone at once that this instance no longer reads the store."""
+        self._elect_readers(self._members.find_silent())
+        self._exchange.announce()
 
     def begin_round(self) -> None:
         """Updates the silent instances and whether this instance reads the store."""
@@ -132,6 +140,7 @@
             same_zone_pollers=[m.name for m in pollers],
             same_zone_members=self._members.find_zone_names(zone, silent),
         )
+        self._zone_readers = frozenset(view.same_zone_readers)
         self._others_read = bool(view.same_zone_readers or elsewhere)
         follower = self._record_follower
         self._is_backup = any(m.availability_zone < zone for m in elsewhere)
@@ -226,6 +235,8 @@
 
     def receive_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Applies the heartbeat of a peer."""
+        if heartbeat.name in self._zone_readers and not heartbeat.reads_store:
+            self._elect_readers(self._members.find_silent())
         self._allowances.charge_heartbeat(heartbeat)
         if heartbeat.crashes:
             self._crash_guard.merge_reports(heartbeat.crashes)
@@ -274,4 +285,4 @@
             revision_before = self._record_cache.revision
             self._record_cache.apply(batch)
             if source.relay_requested and batch.revision > revision_before:
-                self._exchange.announce_records(to_other_zones=False)
+                self._exchange.announce()
--- a/egrethall/fleet/_gossip.py
+++ b/egrethall/fleet/_gossip.py
@@ -34,7 +34,7 @@
 #: reports its usage, so that it learns within one round what the fleet has admitted.
 JOINING_INTERVAL_SECONDS = 0.1
 
-#: Time after which an announcement of changed records is repeated.
+#: Time after which an announcement is repeated.
 ANNOUNCE_AGAIN_SECONDS = 0.15
 
 logger = structlog.get_logger(__name__)
@@ -98,7 +98,7 @@
         self._members = members
         self._participant = participant
         self._malformed_count = 0
-        self._records_changed = anyio.Event()
+        self._announcement_due = anyio.Event()
         #: Whether the next announcement goes to other zones as well.
         self._relays_due = False
 
@@ -121,14 +121,16 @@
                     self._send_round(sender)
                     await anyio.sleep(ROUND_SECONDS)
 
-    def announce_records(self, *, to_other_zones: bool) -> None:
-        """Schedules heartbeats to the own availability zone, as records changed.
+    def announce(self, *, to_other_zones: bool = False) -> None:
+        """Schedules heartbeats to the own availability zone before the next round.
+
+        Announces new records, or that this instance no longer reads the store.
 
         :param to_other_zones: whether a few instances of each other zone, which
             announce the records there, get one as well.
         """
         self._relays_due = self._relays_due or to_other_zones
-        self._records_changed.set()
+        self._announcement_due.set()
 
     def _send_round(self, sender: socket.socket) -> None:
         """Sends a heartbeat to the recipients of this round, and the reports."""
@@ -169,8 +171,8 @@
 
     async def _announce(self, sender: socket.socket) -> None:
         while True:
-            await self._records_changed.wait()
-            self._records_changed = anyio.Event()
+            await self._announcement_due.wait()
+            self._announcement_due = anyio.Event()
             relays_due, self._relays_due = self._relays_due, False
             # Sent twice, because a datagram may be lost.
             for _ in range(2):
--- a/egrethall/http1/__init__.py
+++ b/egrethall/http1/__init__.py
@@ -7,7 +7,7 @@
     HttpConnectionError,
 )
 from egrethall.http1._server import RequestHead, RequestRejectedError, ServerConnection
-from egrethall.http1._sockets import enable_keep_alive, open_stream
+from egrethall.http1._sockets import open_stream
 
 __all__ = [
     "ClientConnection",
@@ -18,6 +18,5 @@
     "RequestRejectedError",
     "ResponseHead",
     "ServerConnection",
-    "enable_keep_alive",
     "open_stream",
 ]
--- a/egrethall/http1/_client.py
+++ b/egrethall/http1/_client.py
@@ -53,11 +53,6 @@
         """Opens a connection to ``address``; raises :class:`ConnectError`."""
         return cls(await open_stream(address, timeout_seconds), address)
 
-    @property
-    def stream(self) -> SocketStream:
-        """The underlying stream, for setting socket options."""
-        return self._stream
-
     @property
     def reusable(self) -> bool:
         """Whether another request can be sent on this connection."""
--- a/egrethall/platform/_store.py
+++ b/egrethall/platform/_store.py
@@ -9,11 +9,7 @@
 
 import anyio
 
-from egrethall.http1 import (
-    ClientConnection,
-    HttpConnectionError,
-    enable_keep_alive,
-)
+from egrethall.http1 import ClientConnection, HttpConnectionError
 from egrethall.types import (
     Headers,
     HistoryLostError,
@@ -24,15 +20,7 @@
     split_revision,
 )
 
-#: Time for which the store holds a watch request open while nothing changes. TCP
-#: keep-alive detects a dead connection sooner; this only limits how long a watch lasts
-#: that the store has lost track of.
-WATCH_WAIT_SECONDS = 20.0
-
-#: Time for a response, on top of the wait of a watch. The store responds within
-#: milliseconds, or within a few hundred milliseconds when it is slow.
-RESPONSE_TIMEOUT_SECONDS = 3.0
-
+#: Time for a new connection; the store accepts one within milliseconds.
 CONNECT_TIMEOUT_SECONDS = 1.0
 
 #: Limit on one response: a page of 500 items or 1 MB, or the changes of an outage.
@@ -57,7 +45,7 @@
         self._address = address
         self._connection: ClientConnection | None = None
 
-    async def read_all(self) -> RecordBatch:
+    async def read_all(self, response_timeout_seconds: float) -> RecordBatch:
         """Reads all records, page by page; raises :class:`RecordSourceError`."""
         records: list[Record] = []
         revision: int | None = None
@@ -66,7 +54,7 @@
         for _ in range(MAX_PAGES):
             page, page_era = await self._request_json(
                 f"/kv-range?prefix=&after={quote(after, safe='')}",
-                RESPONSE_TIMEOUT_SECONDS,
+                response_timeout_seconds,
             )
             if era not in (None, page_era):
                 raise RecordSourceError(
@@ -83,13 +71,18 @@
             after = items[-1].key
         raise RecordSourceError(f"{self._address}: more than {MAX_PAGES} pages")
 
-    async def wait_for_changes(self, after_revision: int) -> RecordBatch:
-        """Returns the changes after a revision; waits for a while if there are none."""
-        wait_ms = int(WATCH_WAIT_SECONDS * 1000)
+    async def wait_for_changes(
+        self,
+        after_revision: int,
+        wait_seconds: float,
+        response_timeout_seconds: float,
+    ) -> RecordBatch:
+        """Returns the changes after a revision; waits if there are none."""
+        wait_ms = int(wait_seconds * 1000)
         known_era, number = split_revision(after_revision)
         response, era = await self._request_json(
             f"/kv-watch?prefix=&after={number}&wait_ms={wait_ms}",
-            WATCH_WAIT_SECONDS + RESPONSE_TIMEOUT_SECONDS,
+            wait_seconds + response_timeout_seconds,
         )
         if era != known_era:
             raise HistoryLostError(
@@ -149,7 +142,6 @@
             self._connection = await ClientConnection.open(
                 self._address, CONNECT_TIMEOUT_SECONDS
             )
-            enable_keep_alive(self._connection.stream)
         headers = ((b"host", self._address.encode("ascii")),)
         await self._connection.send("GET", target.encode("ascii"), headers)
         head = await self._connection.receive_head()
--- a/egrethall/records/_follower.py
+++ b/egrethall/records/_follower.py
@@ -26,6 +26,20 @@
 #: this one only has to cover the loss of that reader or of the path to it.
 BACKUP_BATCHING_SECONDS = 1.0
 
+#: Longest time between two answers of the source to a reader. A watch whose answer was
+#: lost looks like one that waits for a change, and keep-alive does not tell them apart.
+MAX_ANSWER_INTERVAL_SECONDS = 1.0
+
+#: Time for an answer, on top of the wait of a watch. With the interval above it leaves
+#: half a second of the two within which a change must be in force for another reader.
+RESPONSE_TIMEOUT_SECONDS = 0.5
+
+#: Likewise, after a call that failed or was answered slowly: the source may be slow.
+SLOW_RESPONSE_TIMEOUT_SECONDS = 1.5
+
+#: Time after which an answer counts as slow.
+SLOW_RESPONSE_SECONDS = 0.25
+
 #: Interval at which a starting instance checks for records from other instances.
 STARTUP_POLL_SECONDS = 0.02
 
@@ -167,9 +181,17 @@
         self._sleep = sleep
         self._watch_scope: anyio.CancelScope | None = None
         self._reading_enabled = True
+        #: Whether the source has answered since reading was enabled.
+        self._has_answered = False
         self._reading_resumed = anyio.Event()
         self._lagging_since_seconds: float | None = None
         self._batching_seconds = BATCHING_SECONDS
+        self._response_timeout_seconds = RESPONSE_TIMEOUT_SECONDS
+        self._outage_subscribers: list[Callable[[], None]] = []
+
+    def subscribe_to_outages(self, subscriber: Callable[[], None]) -> None:
+        """Calls ``subscriber`` whenever the calls of a reader begin to fail."""
+        self._outage_subscribers.append(subscriber)
 
     async def run(self, first_wait_seconds: float = 0.0) -> None:
         """Keeps the cache up to date until cancelled.
@@ -186,6 +208,8 @@
         back_off_seconds = MIN_BACK_OFF_SECONDS
         while True:
             if not self._reading_enabled:
+                # When reading resumes, the old connection may have been lost unnoticed.
+                await self._source.close()
                 await self._reading_resumed.wait()
             try:
                 await self._read_once(needs_snapshot or not self._cache.revision)
@@ -194,7 +218,7 @@
                 logger.warning("record history lost; reading all", error=str(error))
                 needs_snapshot = True
             except RecordSourceError as error:
-                self._status.observe_failure(error)
+                self._observe_failure(error)
             else:
                 # A snapshot alone does not reset the back-off: the watch after it may
                 # fail again.
@@ -210,11 +234,7 @@
     @property
     def is_reading(self) -> bool:
         """Whether this instance reads from the source successfully."""
-        return (
-            self._reading_enabled
-            and self._status.available
-            and self._cache.revision > 0
-        )
+        return self._reading_enabled and self._has_answered and self._status.available
 
     @property
     def is_polling(self) -> bool:
@@ -237,6 +257,7 @@
             return
         self._reading_enabled = enabled
         logger.info("reading of the record source changed", reads=enabled)
+        self._has_answered = False
         if enabled:
             self._reading_resumed.set()
             self._reading_resumed = anyio.Event()
@@ -269,18 +290,45 @@
 
     async def _read_once(self, needs_snapshot: bool) -> None:
         """Makes one call to the source: a snapshot or a watch."""
+        since_answer_seconds = self._status.measure_seconds_since_answer()
         self._status.observe_call()
         if needs_snapshot:
-            batch = await self._source.read_all()
-            self._status.observe_success(batch.revision)
-            self._apply_batch(batch)
+            batch = await self._source.read_all(SLOW_RESPONSE_TIMEOUT_SECONDS)
+            self._observe_answer(batch)
             return
+        revision_before = self._cache.revision
+        wait_seconds = max(0.0, MAX_ANSWER_INTERVAL_SECONDS - since_answer_seconds)
         with anyio.CancelScope() as self._watch_scope:
-            batch = await self._source.wait_for_changes(self._cache.revision)
-            self._status.observe_success(batch.revision)
-            self._apply_batch(batch)
+            batch = await self._source.wait_for_changes(
+                revision_before, wait_seconds, self._response_timeout_seconds
+            )
+            self._observe_response_time(
+                self._status.measure_open_call_seconds() - wait_seconds
+            )
+            self._observe_answer(batch)
         self._watch_scope = None
-        await self._sleep(self._batching_seconds)
+        if self._cache.revision > revision_before:
+            await self._sleep(self._batching_seconds)
+
+    def _observe_answer(self, batch: RecordBatch) -> None:
+        self._has_answered = True
+        self._status.observe_success(batch.revision)
+        self._apply_batch(batch)
+
+    def _observe_failure(self, error: RecordSourceError) -> None:
+        was_reading = self.is_reading
+        self._response_timeout_seconds = SLOW_RESPONSE_TIMEOUT_SECONDS
+        self._status.observe_failure(error)
+        if not was_reading:
+            return
+        for subscriber in self._outage_subscribers:
+            subscriber()
+
+    def _observe_response_time(self, seconds: float) -> None:
+        is_slow = seconds > SLOW_RESPONSE_SECONDS
+        self._response_timeout_seconds = (
+            SLOW_RESPONSE_TIMEOUT_SECONDS if is_slow else RESPONSE_TIMEOUT_SECONDS
+        )
 
     def _apply_batch(self, batch: RecordBatch) -> None:
         before, ignored_before = self._cache.revision, self._cache.ignored_count
--- a/egrethall/records/_readers.py
+++ b/egrethall/records/_readers.py
@@ -17,15 +17,17 @@
 POLLERS_PER_ZONE = 2
 
 #: Time after which an instance whose calls fail lets another one of its zone try: the
-#: source may reject some instances only. It then pauses for as long.
+#: source may reject some instances only. It then pauses for as long. A reader pauses as
+#: soon as its calls begin to fail.
 ROTATION_SECONDS = 2.0
 
 #: Time after its start in which an instance learns of readers. In four rounds of
 #: heartbeats it learns of some in a fleet of any size.
 DISCOVERY_SECONDS = 2.0
 
-#: Delay before an instance replaces a missing reader, for each instance that precedes
-#: it, so that they do not all start to read. One round of heartbeats.
+#: Delay before an instance replaces a missing reader, for each instance in excess of
+#: :data:`POLLERS_PER_ZONE` that precedes it, so that they do not all start to read. One
+#: round of heartbeats.
 TAKEOVER_STEP_SECONDS = 0.5
 
 #: Largest number of steps of that delay.
@@ -61,6 +63,11 @@
         self._vacant_since_seconds: float | None = None
         self._failing_since_seconds: float | None = None
         self._pausing_until_seconds = float("-inf")
+        #: Whether the own calls succeeded at the last decision.
+        self._was_reading = False
+        #: The other readers of the zone when there were some last. They do not read any
+        #: more while there are none.
+        self._former_readers: frozenset[str] = frozenset()
 
     def decide(self, view: ReaderView, *, polls: bool, reads: bool) -> bool:
         """Returns whether the instance calls the source from now on.
@@ -72,6 +79,9 @@
         max_readers = (
             READERS_PER_ZONE if view.other_zone_readers else READERS_OF_ONLY_ZONE
         )
+        was_reading, self._was_reading = self._was_reading, reads
+        if view.same_zone_readers:
+            self._former_readers = frozenset(view.same_zone_readers)
         if not polls or reads:
             self._failing_since_seconds = None
         if reads:
@@ -82,6 +92,11 @@
         is_starting = now_seconds - self._started_at_seconds < DISCOVERY_SECONDS
         if is_starting and (view.same_zone_readers or view.other_zone_readers):
             return False
+        if polls and was_reading and self._find_candidates(view):
+            # The source may fail this instance only. Those that take over must not wait
+            # until that is known.
+            self._pause(now_seconds)
+            return False
         if polls:
             return self._may_go_on_trying(view, now_seconds)
         return self._may_start(view, now_seconds)
@@ -94,22 +109,33 @@
         failing_seconds = now_seconds - self._failing_since_seconds
         if failing_seconds < ROTATION_SECONDS or not view.same_zone_members:
             return True
+        self._pause(now_seconds)
+        return False
+
+    def _pause(self, now_seconds: float) -> None:
         self._vacant_since_seconds = None
         self._pausing_until_seconds = now_seconds + ROTATION_SECONDS
-        return False
 
     def _may_start(self, view: ReaderView, now_seconds: float) -> bool:
-        if len(view.same_zone_pollers) >= POLLERS_PER_ZONE:
+        vacancies = POLLERS_PER_ZONE - len(view.same_zone_pollers)
+        if vacancies <= 0:
             self._vacant_since_seconds = None
             return False
         if self._vacant_since_seconds is None:
             self._vacant_since_seconds = now_seconds
-        steps = min(self._count_preceding(view.same_zone_members), MAX_TAKEOVER_STEPS)
+        rank = self._count_preceding(self._find_candidates(view))
+        # As many as may call at once do not wait for each other.
+        steps = min(max(0, rank - vacancies + 1), MAX_TAKEOVER_STEPS)
         start_at_seconds = max(
             self._vacant_since_seconds + steps * TAKEOVER_STEP_SECONDS,
             self._pausing_until_seconds,
         )
         return now_seconds >= start_at_seconds
 
+    def _find_candidates(self, view: ReaderView) -> set[str]:
+        """Returns the other instances of the zone that may start to call the source."""
+        calling = self._former_readers | {*view.same_zone_pollers}
+        return {*view.same_zone_members} - calling
+
     def _count_preceding(self, names: Collection[str]) -> int:
         return sum(name < self._own_name for name in names)
--- a/egrethall/records/tests/readers.feature
+++ b/egrethall/records/tests/readers.feature
@@ -57,8 +57,14 @@
     When the source responds with all:5 silence changes:7
     And the follower stops reading and starts again
     Then the calls were all after:5 after:5 after:7
+    And the connection was closed in between
     And the cache is complete up to revision 7
 
+  Scenario: An instance that starts to call the source reads only after its first answer
+    When the source responds with all:5 silence silence
+    And the follower stops reading and starts again
+    Then it calls the source without reading from it
+
   Scenario: An outage is discarded when the instance stops reading
     The outage may affect only this instance, not the ones that read in its place.
 
--- a/egrethall/records/tests/steps/reader_steps.py
+++ b/egrethall/records/tests/steps/reader_steps.py
@@ -143,6 +143,18 @@
     context.subject.restarts_reading = True
 
 
+@then("the connection was closed in between")
+def step_impl(context):
+    assert context.subject.source.closed_count == 1
+
+
+@then("it calls the source without reading from it")
+def step_impl(context):
+    anyio.run(context.subject.run)
+    assert context.subject.follower.is_polling
+    assert not context.subject.follower.is_reading
+
+
 @given("a follower during an outage of its source")
 def step_impl(context):
     clock = ManualClock()
--- a/egrethall/types/_records.py
+++ b/egrethall/types/_records.py
@@ -65,13 +65,28 @@
 class RecordSource(Protocol):
     """A store whose records can be read and watched."""
 
-    async def read_all(self) -> RecordBatch:
-        """Returns all records; raises :class:`RecordSourceError`."""
+    async def read_all(self, response_timeout_seconds: float) -> RecordBatch:
+        """Returns all records; raises :class:`RecordSourceError`.
+
+        :param response_timeout_seconds: longest time for each part of the response.
+        """
         ...
 
-    async def wait_for_changes(self, after_revision: int) -> RecordBatch:
-        """Returns the changes after a revision, after a wait if there are none.
+    async def wait_for_changes(
+        self,
+        after_revision: int,
+        wait_seconds: float,
+        response_timeout_seconds: float,
+    ) -> RecordBatch:
+        """Returns the changes after a revision, which may be none.
 
         Raises :class:`HistoryLostError` or :class:`RecordSourceError`.
+
+        :param wait_seconds: time that the source waits for a change.
+        :param response_timeout_seconds: longest time for the response on top of that.
         """
         ...
+
+    async def close(self) -> None:
+        """Closes the connection to the source; the next call opens a new one."""
+        ...
