Read records from another instance when one does not respond

An instance that had announced a change and then hung kept the others of its zone from the change for 3 s and more: each waited 1.5 s for it, and chose it again at its next heartbeat.

A response with changes must begin within 0.5 s (one with all records within 1.5 s as before, since a starting fleet may queue for it), and an instance that did not respond is no source for the next round of heartbeats.

Fleets that start while the store is silent were checked as well and pass without a change.

--- a/egrethall/entry/_peer_links.py
+++ b/egrethall/entry/_peer_links.py
@@ -274,6 +274,7 @@
                 )
             except RecordSourceError as error:
                 logger.info("records not read from peer", error=str(error))
+                self._record_sources.observe_failure(source)
                 continue
             logger.info(
                 "records read from peer",
--- a/egrethall/entry/tests/steps/store_outage_steps.py
+++ b/egrethall/entry/tests/steps/store_outage_steps.py
@@ -18,6 +18,7 @@
         self.sizes = [int(size) for size in sizes.split()]
         self.seeds = seeds
         self.late = []
+        self.first_wait_seconds = OUTAGE_AT_SECONDS
 
     def play(self, script):
         for seed in self.seeds:
@@ -28,7 +29,7 @@
         rng = random.Random(seed)
 
         async def run_script():
-            await anyio.sleep(OUTAGE_AT_SECONDS)
+            await anyio.sleep(self.first_wait_seconds)
             await script(fleet, rng)
 
         await fleet.run(run_script)
@@ -97,6 +98,34 @@
     context.script = script
 
 
+@when("they start while the store is silent for {seconds:g} s")
+def step_impl(context, seconds):
+    async def script(fleet, rng):
+        fleet.store.fall_silent(fleet.instances)
+        fleet.store.write()
+        await anyio.sleep(seconds)
+        fleet.store.recover()
+        limit_seconds = fleet.clock.monotonic_seconds() + SETTLED_AFTER_OUTAGE_SECONDS
+        await anyio.sleep(SETTLED_AFTER_OUTAGE_SECONDS + 0.5)
+        context.play.require(fleet, fleet.store.revision, limit_seconds)
+
+    context.play.first_wait_seconds = 0.0
+    context.script = script
+
+
+@when("the first instance hangs right after it has announced a change")
+def step_impl(context):
+    async def script(fleet, rng):
+        await anyio.sleep(rng.uniform(0, 2))
+        fleet.hanging = next(iter(fleet.instances))
+        fleet.store.write()
+        limit_seconds = fleet.clock.monotonic_seconds() + APPLY_SECONDS
+        await anyio.sleep(APPLY_SECONDS + 0.5)
+        context.play.require(fleet, fleet.store.revision, limit_seconds)
+
+    context.script = script
+
+
 @when("the store takes {seconds:g} s to answer from 10 s on")
 def step_impl(context, seconds):
     context.delay_seconds = seconds
@@ -130,6 +159,7 @@
 
 @then("the others receive the change within 2 s")
 @then("all instances receive each change within 2 s or 3 s after the outage")
+@then("all instances have its records within 3 s after the outage")
 def step_impl(context):
     context.play.play(context.script)
     assert not context.play.late, context.play.late
--- a/egrethall/entry/tests/store_outages.feature
+++ b/egrethall/entry/tests/store_outages.feature
@@ -32,6 +32,27 @@
       | 5 5 4    | 3     | 20      |
       | 30 30 30 | 1     | 6.3     |
 
+  Scenario Outline: A fleet that starts while the store is silent reads it at its return
+    Given fleets of <sizes> instances with seeds 1 to 10
+    When they start while the store is silent for <seconds> s
+    Then all instances have its records within 3 s after the outage
+
+    Examples:
+      | sizes   | seconds |
+      | 1       | 2.2     |
+      | 5 5 5 3 | 0.5     |
+      | 5 5 5 3 | 6.3     |
+
+  Scenario Outline: Instances do not depend on the one that announces a change
+    Given fleets of <sizes> instances with seeds 1 to 10
+    When the first instance hangs right after it has announced a change
+    Then the others receive the change within 2 s
+
+    Examples:
+      | sizes   |
+      | 3       |
+      | 5 5 5 3 |
+
   Scenario Outline: A slow store is read
     Given fleets of 5 5 4 instances with seeds 1 to 4
     When the store takes <delay> s to answer from 10 s on
--- a/egrethall/entry/tests/virtual_fleet.py
+++ b/egrethall/entry/tests/virtual_fleet.py
@@ -12,6 +12,10 @@
 from egrethall.entry._settings import EntryBounds, EntrySettings
 from egrethall.entry.tests.virtual_time import LoopClock
 from egrethall.fleet import ROUND_SECONDS, FleetMembers
+from egrethall.fleet._record_exchange import (
+    EXCHANGE_TIMEOUT_SECONDS,
+    RESPONSE_TIMEOUT_SECONDS,
+)
 from egrethall.placement import CrashGuard
 from egrethall.quota import ExcessTolerance, FleetAllowances
 from egrethall.records import RecordCache, RecordFollower, SourceStatus
@@ -185,6 +189,8 @@
             for number in range(size):
                 name, address = f"{letter}{number}", f"10.{zone}.0.{number}:80"
                 self.instances[name] = VirtualInstance(self, name, letter, address)
+        #: Name of the instance that accepts connections of others and sends nothing.
+        self.hanging = None
         self.by_address = {i.address: i for i in self.instances.values()}
 
     def find_readers(self):
@@ -201,6 +207,11 @@
         recipient.links._exchange._receive_datagram(datagram, self)
 
     async def read_records(self, address, after_revision):
+        if self.hanging is not None and address == self.instances[self.hanging].address:
+            await anyio.sleep(
+                RESPONSE_TIMEOUT_SECONDS if after_revision else EXCHANGE_TIMEOUT_SECONDS
+            )
+            raise RecordSourceError("no response")
         await anyio.sleep(3 * NETWORK_DELAY_SECONDS)
         return self.by_address[address].cache.find_changes(after_revision)
 
--- a/egrethall/fleet/_record_exchange.py
+++ b/egrethall/fleet/_record_exchange.py
@@ -17,6 +17,10 @@
 #: can be asked.
 EXCHANGE_TIMEOUT_SECONDS = 1.5
 
+#: Time until the response begins, for an instance that lacks changes only. One that
+#: does not respond must leave time to read from another.
+RESPONSE_TIMEOUT_SECONDS = 0.5
+
 #: Limit for a message: the store's largest value and a thousand upstream entries.
 MAX_MESSAGE_BYTES = 8 * 1024 * 1024
 
@@ -66,12 +70,17 @@
 
     Raises :class:`RecordSourceError`.
     """
+    begin_timeout_seconds = (
+        RESPONSE_TIMEOUT_SECONDS if after_revision else EXCHANGE_TIMEOUT_SECONDS
+    )
     try:
-        with anyio.fail_after(EXCHANGE_TIMEOUT_SECONDS):
-            async with await open_stream(address, EXCHANGE_TIMEOUT_SECONDS) as stream:
+        with anyio.fail_after(begin_timeout_seconds) as limit:
+            async with await open_stream(address, begin_timeout_seconds) as stream:
                 await _send(stream, msgpack.packb(after_revision))
-                message = msgpack.unpackb(_decompress(await _receive(stream)))
-                revision, whole, records = message
+                length = await _receive_length(stream)
+                limit.deadline += EXCHANGE_TIMEOUT_SECONDS - begin_timeout_seconds
+                packed = await _receive_exactly(stream, length)
+                revision, whole, records = msgpack.unpackb(_decompress(packed))
         return RecordBatch(
             int(revision),
             tuple(Record(str(key), int(at), value) for key, at, value in records),
@@ -106,12 +115,15 @@
 
 
 async def _receive(stream: SocketStream) -> bytes:
-    (length,) = _LENGTH_PREFIX.unpack(
-        await _receive_exactly(stream, _LENGTH_PREFIX.size)
-    )
+    return await _receive_exactly(stream, await _receive_length(stream))
+
+
+async def _receive_length(stream: SocketStream) -> int:
+    prefix = await _receive_exactly(stream, _LENGTH_PREFIX.size)
+    length: int = _LENGTH_PREFIX.unpack(prefix)[0]
     if length > MAX_MESSAGE_BYTES:
         raise ValueError(f"message of {length} bytes exceeds the limit")
-    return await _receive_exactly(stream, length)
+    return length
 
 
 async def _receive_exactly(stream: SocketStream, length: int) -> bytes:
--- a/egrethall/fleet/_record_sources.py
+++ b/egrethall/fleet/_record_sources.py
@@ -8,6 +8,10 @@
 #: announce changes within a round trip.
 OWN_ZONE_FIRST_SECONDS = 0.4
 
+#: Time for which an instance that did not respond is not a source. In a round of
+#: heartbeats others announce the same records.
+FAILED_SOURCE_SECONDS = 0.5
+
 
 class RecordSources:
     """Keeps the instance with the newest records, preferring the own availability zone.
@@ -23,6 +27,9 @@
         #: The own revision when another instance was first ahead of it, and the time.
         self._lagging_at_revision = -1
         self._lagging_since_seconds = 0.0
+        #: Name of the source that failed last, and until when it is not used.
+        self._failed_name = ""
+        self._failed_until_seconds = 0.0
 
     def observe(self, heartbeat: Heartbeat, own_revision: int) -> bool:
         """Considers the sender as a source; returns whether to read from it.
@@ -33,6 +40,11 @@
         if heartbeat.revision <= own_revision:
             return False
         now_seconds = self._clock.monotonic_seconds()
+        if (
+            heartbeat.name == self._failed_name
+            and now_seconds < self._failed_until_seconds
+        ):
+            return False
         if self._lagging_at_revision != own_revision:
             self._lagging_at_revision = own_revision
             self._lagging_since_seconds = now_seconds
@@ -50,6 +62,15 @@
         self._source = heartbeat
         return True
 
+    def observe_failure(self, source: Heartbeat) -> None:
+        """Records that the records could not be read from ``source``."""
+        self._failed_name = source.name
+        self._failed_until_seconds = (
+            self._clock.monotonic_seconds() + FAILED_SOURCE_SECONDS
+        )
+        if self._source is not None and self._source.name == source.name:
+            self._source = None
+
     def take_source(self, own_revision: int) -> Heartbeat | None:
         """Removes and returns the source; None if there is none that is still ahead."""
         source, self._source = self._source, None
--- a/egrethall/fleet/tests/members.feature
+++ b/egrethall/fleet/tests/members.feature
@@ -40,6 +40,11 @@
       | not compressed |
       | cut off        |
 
+  Scenario: A source that accepts a connection and sends nothing leaves time for another
+    Given an instance that accepts connections and sends nothing
+    When an instance that lacks changes reads from it
+    Then the read fails within 1 s
+
   Scenario: A replaced instance is counted once
     Given 5 instances with 3 seeds of which 0 is stale
     When heartbeats are exchanged for 3 s
--- a/egrethall/fleet/tests/steps/member_steps.py
+++ b/egrethall/fleet/tests/steps/member_steps.py
@@ -1,5 +1,6 @@
 import random
 import socket
+import time
 import zlib
 
 import anyio
@@ -504,6 +505,32 @@
     anyio.run(context.read_records, context.read)
 
 
+@given("an instance that accepts connections and sends nothing")
+def step_impl(context):
+    listener = socket.create_server(("127.0.0.1", 0))
+    context.add_cleanup(listener.close)
+    context.address = f"127.0.0.1:{listener.getsockname()[1]}"
+
+
+@when("an instance that lacks changes reads from it")
+def step_impl(context):
+    async def read():
+        try:
+            await read_records_from_peer(context.address, 1)
+        except RecordSourceError as error:
+            context.error = error
+
+    started_at = time.monotonic()
+    anyio.run(read)
+    context.read_seconds = time.monotonic() - started_at
+
+
+@then("the read fails within {seconds:d} s")
+def step_impl(context, seconds):
+    assert context.error is not None
+    assert context.read_seconds < seconds, context.read_seconds
+
+
 @then("it has the same records")
 def step_impl(context):
     assert context.read.find_changes(0) == context.cache.find_changes(0)
