Record and log whether an instance reaches any upstream

Several upstreams without a response, and none with one in the meantime, lead to a check of six upstreams of all services; if none responds, the path counts as lost until two respond. It is logged and a gauge; no decision uses it.

--- a/egrethall/entry/_daemon.py
+++ b/egrethall/entry/_daemon.py
@@ -28,6 +28,7 @@
 from egrethall.entry._metrics import RequestMetrics
 from egrethall.entry._observer import RequestObserver
 from egrethall.entry._page_server import serve_pages
+from egrethall.entry._path_checker import PathChecker
 from egrethall.entry._peer_links import PeerLinks
 from egrethall.entry._placer import Placer
 from egrethall.entry._prober import Prober
@@ -44,6 +45,7 @@
     PeerInstance,
     ProbeAllowance,
     RateLimitShares,
+    UpstreamPath,
     UpstreamTable,
 )
 from egrethall.platform import PlatformExchangeFormat, StoreClient, decode_record
@@ -99,8 +101,11 @@
         self._serving = ServingState()
         self._record_cache = RecordCache()
         self._source_status = SourceStatus(self._clock)
-        self._metrics = RequestMetrics(self._source_status)
         self._upstream_table = UpstreamTable(self._clock, self._random, settings.name)
+        self._upstream_path = UpstreamPath(
+            self._upstream_table.count_upstreams, self._clock
+        )
+        self._metrics = RequestMetrics(self._source_status, self._upstream_path)
         self._crash_guard = CrashGuard(self._clock)
         self._pool = ConnectionPool(self._clock)
         bounds = settings.bounds
@@ -194,7 +199,16 @@
 
     def _build_application(self, tasks: TaskGroup) -> EntryApplication:
         exchange_format = PlatformExchangeFormat()
-        prober = Prober(self._pool, exchange_format, self._clock, tasks)
+        prober = Prober(
+            self._pool, exchange_format, self._upstream_path, self._clock, tasks
+        )
+        checker = PathChecker(
+            self._upstream_path,
+            self._upstream_table,
+            prober,
+            self._published_state.find_service,
+        )
+        tasks.start_soon(checker.run)
         placer = Placer(
             self._settings.availability_zone,
             self._upstream_table,
@@ -217,7 +231,9 @@
         )
         sender = RequestSender(
             placer,
-            UpstreamExchange(self._pool, exchange_format, self._clock),
+            UpstreamExchange(
+                self._pool, exchange_format, self._upstream_path, self._clock
+            ),
             Hedger(placer, prober, self._retry_budget, self._crash_guard, self._clock),
             self._retry_budget,
             self._crash_guard,
--- a/egrethall/entry/_metrics.py
+++ b/egrethall/entry/_metrics.py
@@ -6,6 +6,7 @@
 from itertools import accumulate
 from typing import TYPE_CHECKING
 
+from egrethall.placement import UpstreamPath
 from egrethall.records import SourceStatus
 
 if TYPE_CHECKING:
@@ -40,8 +41,9 @@
     replaced often and scraped rarely, so it is imported by the first scrape.
     """
 
-    def __init__(self, source_status: SourceStatus) -> None:
+    def __init__(self, source_status: SourceStatus, path: UpstreamPath) -> None:
         self._source_status = source_status
+        self._path = path
         #: Completed requests by service and outcome.
         self.requests: Counter[tuple[str, str]] = Counter()
         #: Attempts by service, retries and hedged attempts included.
@@ -95,6 +97,11 @@
             limited.add_metric([service], count)
         yield limited
         yield from _collect_source_metrics(self._source_status)
+        yield GaugeMetricFamily(
+            "egrethall_upstream_path_available",
+            "1 while this instance reaches upstreams, 0 while it reaches none.",
+            value=int(self._path.available),
+        )
         latencies = HistogramMetricFamily(
             "egrethall_request_seconds",
             "Time from the head of a request to its answer.",
--- a/egrethall/entry/_prober.py
+++ b/egrethall/entry/_prober.py
@@ -14,7 +14,7 @@
     ConnectionLostError,
     HttpConnectionError,
 )
-from egrethall.placement import UpstreamState
+from egrethall.placement import UpstreamPath, UpstreamState
 from egrethall.types import Clock, ExchangeFormat, UpstreamHead, UpstreamReading
 
 #: Timeout of a probe. A response takes a few milliseconds, and some tens more if this
@@ -94,11 +94,13 @@
         self,
         pool: ConnectionPool,
         exchange_format: ExchangeFormat,
+        path: UpstreamPath,
         clock: Clock,
         tasks: TaskGroup,
     ) -> None:
         self._pool = pool
         self._exchange_format = exchange_format
+        self._path = path
         self._clock = clock
         self._tasks = tasks
 
@@ -151,12 +153,19 @@
             await self.release(probe)
         return probe
 
+    async def check_path(self, state: UpstreamState, health_path: str) -> bool:
+        """Returns whether an upstream responds; one that does not is not avoided."""
+        probe = await self._probe_upstream(state, health_path, penalize=False)
+        if probe is not None:
+            await self.release(probe)
+        return probe is not None
+
     async def release(self, probe: ProbeResult) -> None:
         """Returns the connection of an unused probe to the pool."""
         await self._pool.release(probe.state, probe.connection, probe.idle_seconds)
 
     async def _probe_upstream(
-        self, state: UpstreamState, health_path: str
+        self, state: UpstreamState, health_path: str, *, penalize: bool = True
     ) -> ProbeResult | None:
         connection: ClientConnection | None = None
         try:
@@ -177,14 +186,19 @@
         except (HttpConnectionError, TimeoutError) as error:
             if connection is not None:
                 await connection.close()
-            state.observe_failure(
-                "no connection" if isinstance(error, ConnectError) else "no response"
-            )
+            self._path.observe_failure(state.name)
+            if penalize:
+                state.observe_failure(
+                    "no connection"
+                    if isinstance(error, ConnectError)
+                    else "no response"
+                )
             return None
         except BaseException:
             if connection is not None:
                 await connection.close()
             raise
+        self._path.observe_response(state.name)
         return await self._make_result(state, connection, head)
 
     async def _request_health(
--- a/egrethall/entry/_upstream_exchange.py
+++ b/egrethall/entry/_upstream_exchange.py
@@ -14,7 +14,7 @@
     ConnectionLostError,
     ResponseHead,
 )
-from egrethall.placement import UpstreamState
+from egrethall.placement import UpstreamPath, UpstreamState
 from egrethall.types import Clock, ExchangeFormat, Headers, UpstreamHead
 
 #: Responses up to this length are received completely before the caller gets any part
@@ -40,10 +40,15 @@
     """Sends requests to upstreams and accepts only responses proven to be theirs."""
 
     def __init__(
-        self, pool: ConnectionPool, exchange_format: ExchangeFormat, clock: Clock
+        self,
+        pool: ConnectionPool,
+        exchange_format: ExchangeFormat,
+        path: UpstreamPath,
+        clock: Clock,
     ) -> None:
         self._pool = pool
         self._format = exchange_format
+        self._path = path
         self._clock = clock
 
     async def attempt(
@@ -112,6 +117,7 @@
         await connection.send(request.method, request.target, headers, request.body)
         for _ in range(MAX_SKIPPED_RESPONSES + 1):
             received = await connection.receive_head()
+            self._path.observe_response(state.name)
             head = self._format.decode_upstream_head(received.status, received.headers)
             # Upstreams echo the ID of the request. A response without one may belong to
             # the probe before it, so that it proves nothing about this request.
--- a/egrethall/placement/__init__.py
+++ b/egrethall/placement/__init__.py
@@ -21,6 +21,7 @@
     REPUBLISH_GRACE_SECONDS,
     UpstreamTable,
 )
+from egrethall.placement._upstream_path import UpstreamPath
 from egrethall.placement._upstream_state import UpstreamState
 from egrethall.placement._waiting_line import WaitingLine, WaitingRequest
 
@@ -37,6 +38,7 @@
     "REPUBLISH_GRACE_SECONDS",
     "RateLimitShares",
     "CandidateLoad",
+    "UpstreamPath",
     "UpstreamState",
     "UpstreamTable",
     "WaitingLine",
--- a/egrethall/placement/_table.py
+++ b/egrethall/placement/_table.py
@@ -4,6 +4,7 @@
 
 import heapq
 from collections import OrderedDict
+from itertools import chain, zip_longest
 
 import structlog
 
@@ -153,6 +154,21 @@
         """Returns the upstream called ``name``, or None if it is unknown."""
         return self._states.get(name)
 
+    def count_upstreams(self) -> int:
+        """Returns the number of known upstreams of all services."""
+        return len(self._states)
+
+    def choose_across_services(self, count: int) -> list[UpstreamState]:
+        """Returns up to ``count`` random upstreams, of as many services as possible."""
+        by_service = [
+            self._random.sample(states, len(states))
+            for service in self._by_service
+            if (states := self.find_usable(service))
+        ]
+        shuffled = self._random.sample(by_service, len(by_service))
+        in_turn = chain.from_iterable(zip_longest(*shuffled))
+        return [state for state in in_turn if state is not None][:count]
+
     def find_usable(self, service: str) -> list[UpstreamState]:
         """Returns the upstreams of ``service`` that may receive new requests."""
         self._apply_due_changes()
