--- a/egrethall/entry/tests/entry_callers.py
+++ b/egrethall/entry/tests/entry_callers.py
@@ -92,6 +92,17 @@
         with ThreadPoolExecutor(concurrency) as pool:
             self.replies = list(pool.map(lambda path: self.call(path, key), paths))
 
+    def call_each(self, count, kind, key, entries, concurrency=4):
+        """Sends requests to some instances in turn."""
+        calls = [
+            (f"/{kind}/{make_unique_name()}", entry)
+            for _, entry in zip(range(count), itertools.cycle(entries), strict=False)
+        ]
+        with ThreadPoolExecutor(concurrency) as pool:
+            self.replies = list(
+                pool.map(lambda call: self.call(call[0], key, entry=call[1]), calls)
+            )
+
     def disconnect_after(self, path, key, seconds):
         port = self.fleet.ports["entry-0"]
         with socket.create_connection(("127.0.0.1", port)) as connection:
--- a/standins/entry_fleet.py
+++ b/standins/entry_fleet.py
@@ -142,7 +142,11 @@
         }
         path = self.directory / f"{name}.json"
         path.write_text(json.dumps(settings))
-        variables = {"EGRETHALL_CONFIG": str(path)}
+        self.run_entry(name, str(path))
+
+    def run_entry(self, name: str, settings_path: str) -> None:
+        """Starts the process of one entry instance."""
+        variables = {"EGRETHALL_CONFIG": settings_path}
         self.start_process(name, "egrethall.entry", environment=variables)
 
     def publish_all(self) -> None:
