Forward requests while an instance reaches no upstream

- An instance without a path forwards admitted requests to one that states in its heartbeats that it has one, of its zone first, over the port for records.
That one makes the attempts with its probes, budget, hedges and cold rates; it charges no allowance and does not forward again.
It begins only after the sender has confirmed, so that one that hangs runs nothing later; a stream that breaks after that is an unknown outcome.
- Requests whose service does not respond to new connections are forwarded as well, unless others did not reach it either.
- If nobody reaches an upstream, requests are refused at once, on a connection that closes, and the instance is not ready.
- While the path is lost, upstreams are not avoided for failed probes.
A crash counts only if another upstream responds to the instance.
Shares of rate limits and probes are those of the instances that reach upstreams.

Messages between instances have a new format, which older instances ignore.

--- a/egrethall/entry/_application.py
+++ b/egrethall/entry/_application.py
@@ -167,7 +167,12 @@
         headers.append((b"retry-after", seconds.encode("ascii")))
     encoded = body.encode()
     return Response(
-        refusal.reason.status, tuple(headers), encoded, content_length=len(encoded)
+        refusal.reason.status,
+        tuple(headers),
+        encoded,
+        content_length=len(encoded),
+        # The caller's next connection may lead to an instance that reaches upstreams.
+        closes_connection=refusal.reason is RefusalReason.UPSTREAMS_UNREACHABLE,
     )
 
 
--- a/egrethall/entry/_caller_connection.py
+++ b/egrethall/entry/_caller_connection.py
@@ -184,7 +184,10 @@
 
     async def _write_response(self, response: Response, head: RequestHead) -> bool:
         """Writes a response; returns whether the connection can be reused."""
-        closing = self._serving.phase is not ServingPhase.RUNNING
+        closing = (
+            response.closes_connection
+            or self._serving.phase is not ServingPhase.RUNNING
+        )
         headers = _add_framing_headers(response, closing)
         bodiless = head.method == "HEAD" or response.status in (204, 304)
         try:
--- a/egrethall/entry/_crash_observer.py
+++ b/egrethall/entry/_crash_observer.py
@@ -1,5 +1,6 @@
 """Tells upstreams that crashed from those that only broke a connection."""
 
+from egrethall.entry._path_checker import PathChecker
 from egrethall.entry._prober import Prober
 from egrethall.placement import CrashGuard, UpstreamTable
 
@@ -12,10 +13,15 @@
     """
 
     def __init__(
-        self, table: UpstreamTable, prober: Prober, crashes: CrashGuard
+        self,
+        table: UpstreamTable,
+        prober: Prober,
+        checker: PathChecker,
+        crashes: CrashGuard,
     ) -> None:
         self._table = table
         self._prober = prober
+        self._checker = checker
         self._crashes = crashes
 
     def observe_broken(
@@ -29,8 +35,10 @@
         if state is None:
             self._crashes.observe_crash(fingerprint, upstream)
             return
-        self._prober.start_check(
-            state,
-            health_path,
-            lambda: self._crashes.observe_crash(fingerprint, upstream),
-        )
+
+        async def observe_unresponsive() -> None:
+            # An instance that reaches no upstream cannot tell which of them crashed.
+            if await self._checker.reaches_any(excluded=upstream):
+                self._crashes.observe_crash(fingerprint, upstream)
+
+        self._prober.start_check(state, health_path, observe_unresponsive)
--- a/egrethall/entry/_daemon.py
+++ b/egrethall/entry/_daemon.py
@@ -23,12 +23,14 @@
 from egrethall.entry._connection_pool import ConnectionPool
 from egrethall.entry._crash_observer import CrashObserver
 from egrethall.entry._event_loop import make_event_loop
+from egrethall.entry._forwarded_requests import ForwardedRequests
 from egrethall.entry._hedger import Hedger
 from egrethall.entry._logs import configure_entry_logs
 from egrethall.entry._metrics import RequestMetrics
 from egrethall.entry._observer import RequestObserver
 from egrethall.entry._page_server import serve_pages
 from egrethall.entry._path_checker import PathChecker
+from egrethall.entry._peer_forwarder import ForwardingPeer, PeerForwarder
 from egrethall.entry._peer_links import PeerLinks
 from egrethall.entry._placer import Placer
 from egrethall.entry._prober import Prober
@@ -37,7 +39,7 @@
 from egrethall.entry._settings import EntrySettings
 from egrethall.entry._settings_file import SettingsFile
 from egrethall.entry._upstream_exchange import UpstreamExchange
-from egrethall.fleet import ROUND_SECONDS, FleetMembers, RecordServer
+from egrethall.fleet import ROUND_SECONDS, FleetMembers, PeerServer
 from egrethall.forwarding import RetryBudget
 from egrethall.placement import (
     ColdStartShares,
@@ -106,7 +108,16 @@
             self._upstream_table.count_upstreams, self._clock
         )
         self._metrics = RequestMetrics(self._source_status, self._upstream_path)
+        self._observer = RequestObserver(self._clock, self._metrics)
         self._crash_guard = CrashGuard(self._clock)
+        self._forwarder = PeerForwarder(
+            settings.name,
+            settings.availability_zone,
+            self,
+            self._crash_guard,
+            self._clock,
+            self._random,
+        )
         self._pool = ConnectionPool(self._clock)
         bounds = settings.bounds
         self._retry_budget = RetryBudget(bounds.retry_ratio * RETRY_RATIO_FRACTION, 1.0)
@@ -152,6 +163,7 @@
             self._source_status,
             self._allowances,
             self._crash_guard,
+            self._upstream_path,
             is_leaving=lambda: self._serving.phase is not ServingPhase.RUNNING,
             clock=self._clock,
         )
@@ -166,8 +178,18 @@
                 self._record_follower.run, 0.0 if is_seed else PEER_RECORDS_WAIT_SECONDS
             )
             tasks.start_soon(self._peer_links.run)
+            forwarded = ForwardedRequests(
+                self._published_state,
+                self._sender,
+                self._upstream_path,
+                self._serving,
+                self._observer,
+                self._clock,
+            )
             tasks.start_soon(
-                RecordServer(self._settings.peer_address, self._record_cache).run
+                PeerServer(
+                    self._settings.peer_address, self._record_cache, forwarded.handle
+                ).run
             )
             tasks.start_soon(
                 serve_pages,
@@ -191,10 +213,19 @@
         return [member.name for member in self._members.find_confirmed()]
 
     def find_reachable_peers(self) -> Sequence[PeerInstance]:
-        """Returns the other instances from which heartbeats arrive."""
+        """Returns the other instances that can send requests to upstreams."""
         return [
             PeerInstance(member.name, member.availability_zone)
             for member in self._members.find_reachable()
+            if member.reaches_upstreams
+        ]
+
+    def find_forwarding_peers(self) -> Sequence[ForwardingPeer]:
+        """Returns the other instances to which requests may be forwarded."""
+        return [
+            ForwardingPeer(member.name, member.availability_zone, member.address)
+            for member in self._members.find_reachable()
+            if member.reaches_upstreams
         ]
 
     def _build_application(self, tasks: TaskGroup) -> EntryApplication:
@@ -222,14 +253,14 @@
             ),
             ProbeAllowance(
                 self._settings.bounds.probes_per_second,
-                lambda: self._members.fleet_size,
+                self._members.count_sending,
                 self._clock,
             ),
             self,
             self._clock,
             self._random,
         )
-        sender = RequestSender(
+        self._sender = RequestSender(
             placer,
             UpstreamExchange(
                 self._pool, exchange_format, self._upstream_path, self._clock
@@ -237,16 +268,18 @@
             Hedger(placer, prober, self._retry_budget, self._crash_guard, self._clock),
             self._retry_budget,
             self._crash_guard,
-            CrashObserver(self._upstream_table, prober, self._crash_guard),
+            CrashObserver(self._upstream_table, prober, checker, self._crash_guard),
+            self._upstream_path,
+            self._forwarder,
             self._clock,
             self._random,
         )
         return EntryApplication(
             self._published_state,
             self._allowances,
-            sender,
+            self._sender,
             exchange_format,
-            RequestObserver(self._clock, self._metrics),
+            self._observer,
             self._clock,
             self._random,
         )
@@ -326,6 +359,7 @@
         ready = (
             self._serving.phase is ServingPhase.RUNNING
             and self._published_state.routes is not None
+            and (self._upstream_path.available or self._forwarder.available)
         )
         return (200 if ready else 503), b"text/plain", b"ready\n" if ready else b"no\n"
 
--- a/egrethall/entry/_metrics.py
+++ b/egrethall/entry/_metrics.py
@@ -50,6 +50,9 @@
         self.attempts: Counter[str] = Counter()
         #: Requests whose last upstream stated a rate limit, by service.
         self.limited_requests: Counter[str] = Counter()
+        #: Requests forwarded to other instances ("sent") and by them ("received"), by
+        #: direction and outcome.
+        self.forwarded_requests: Counter[tuple[str, str]] = Counter()
         #: Time from a request's head to its response, by service.
         self.latencies: dict[str, LatencyHistogram] = {}
         #: Time spent on selecting upstreams.
@@ -96,6 +99,14 @@
         for service, count in self.limited_requests.items():
             limited.add_metric([service], count)
         yield limited
+        forwarded = CounterMetricFamily(
+            "egrethall_forwarded_requests",
+            "Requests forwarded to other instances (sent) or by them (received).",
+            labels=["direction", "outcome"],
+        )
+        for labels, count in self.forwarded_requests.items():
+            forwarded.add_metric(labels, count)
+        yield forwarded
         yield from _collect_source_metrics(self._source_status)
         yield GaugeMetricFamily(
             "egrethall_upstream_path_available",
--- a/egrethall/entry/_observer.py
+++ b/egrethall/entry/_observer.py
@@ -62,8 +62,13 @@
         metrics = self._metrics
         service = record.service or "none"
         metrics.running -= 1
-        metrics.requests[service, record.outcome] += 1
-        metrics.observe_latency(service, elapsed_seconds)
+        if record.forwarded_from:
+            metrics.forwarded_requests["received", record.outcome] += 1
+        else:
+            metrics.requests[service, record.outcome] += 1
+            metrics.observe_latency(service, elapsed_seconds)
+        if record.forwarded_to:
+            metrics.forwarded_requests["sent", record.outcome] += 1
         if record.attempts:
             metrics.attempts[service] += record.attempts
             metrics.placing_latency.observe(record.placing_seconds)
@@ -85,6 +90,8 @@
             service=record.service,
             version=record.version,
             upstream=record.upstream,
+            forwarded_to=record.forwarded_to,
+            forwarded_from=record.forwarded_from,
             reading=record.reading,
             limit_per_second=record.rate_limit_per_second,
             attempts=record.attempts,
--- a/egrethall/entry/_path_checker.py
+++ b/egrethall/entry/_path_checker.py
@@ -5,7 +5,12 @@
 import anyio
 
 from egrethall.entry._prober import Prober
-from egrethall.placement import UpstreamPath, UpstreamState, UpstreamTable
+from egrethall.placement import (
+    REQUIRED_RESPONSES,
+    UpstreamPath,
+    UpstreamState,
+    UpstreamTable,
+)
 from egrethall.types import PublishedService
 
 #: Upstreams that a check probes at once, of all services and availability zones.
@@ -41,18 +46,32 @@
             await self._check()
             await anyio.sleep(CHECK_INTERVAL_SECONDS)
 
+    async def reaches_any(self, excluded: str) -> bool:
+        """Returns whether any of a few upstreams but ``excluded`` responds now."""
+        states = self._table.choose_across_services(CHECKED_UPSTREAMS)
+        others = [state for state in states if state.name != excluded]
+        return await self._probe(others, required=1) > 0
+
     async def _check(self) -> None:
         states = self._table.choose_across_services(CHECKED_UPSTREAMS)
-        responding: list[UpstreamState] = []
+        if states and not await self._probe(states, REQUIRED_RESPONSES):
+            self._path.observe_failed_check(len(states))
+
+    async def _probe(self, states: list[UpstreamState], required: int) -> int:
+        """Returns how many of ``states`` respond, up to ``required``."""
+        responding = 0
 
         async def probe(state: UpstreamState, health_path: str) -> None:
-            if await self._prober.check_path(state, health_path):
-                responding.append(state)
+            nonlocal responding
+            if not await self._prober.check_path(state, health_path):
+                return
+            responding += 1
+            if responding >= required:
+                tasks.cancel_scope.cancel()
 
         async with anyio.create_task_group() as tasks:
             for state in states:
                 service = self._find_service(state.entry.service)
                 if service is not None:
                     tasks.start_soon(probe, state, service.health_path)
-        if states and not responding:
-            self._path.observe_failed_check(len(states))
+        return responding
--- a/egrethall/entry/_peer_links.py
+++ b/egrethall/entry/_peer_links.py
@@ -16,7 +16,7 @@
     UsageReports,
     read_records_from_peer,
 )
-from egrethall.placement import CrashGuard
+from egrethall.placement import CrashGuard, UpstreamPath
 from egrethall.quota import FleetAllowances
 from egrethall.records import (
     ReaderElection,
@@ -63,6 +63,7 @@
         source_status: SourceStatus,
         allowances: FleetAllowances,
         crash_guard: CrashGuard,
+        upstream_path: UpstreamPath,
         is_leaving: Callable[[], bool],
         clock: Clock,
         read_records: PeerRecordReader = read_records_from_peer,
@@ -75,6 +76,7 @@
         self._source_status = source_status
         self._allowances = allowances
         self._crash_guard = crash_guard
+        self._upstream_path = upstream_path
         self._is_leaving = is_leaving
         self._clock = clock
         self._read_records = read_records
@@ -88,6 +90,7 @@
         self._exchange = FleetExchange(settings.peer_address, members, self)
         record_cache.subscribe(self._announce_records)
         record_follower.subscribe_to_outages(self._leave_to_other_readers)
+        upstream_path.subscribe(self._exchange.announce)
         self._silent_names: frozenset[str] = frozenset()
         self._record_sources = RecordSources(settings.availability_zone, clock)
         self._peer_ahead = anyio.Event()
@@ -188,6 +191,7 @@
             sequence=self._sequence,
             known_count=self._members.fleet_size - 1,
             settled=not self.joining,
+            reaches_upstreams=self._upstream_path.available,
         )
 
     def compose_reports(self) -> Mapping[str, UsageReports]:
--- a/egrethall/entry/_placer.py
+++ b/egrethall/entry/_placer.py
@@ -162,6 +162,11 @@
         attempt_at_seconds = max(
             line.next_attempt_at_seconds, self._clock.monotonic_seconds()
         )
+        if attempt_at_seconds >= give_up_at_seconds and not line.upstreams_respond:
+            raise self._make_refusal(
+                RefusalReason.UPSTREAMS_UNREACHABLE,
+                "No upstream of the service responds to this instance.",
+            )
         if attempt_at_seconds >= give_up_at_seconds:
             raise self._make_refusal(
                 RefusalReason.OVERLOADED,
@@ -201,6 +206,8 @@
                 await self._prober.release(probe)
             raise
         batch.discard_pending()
+        line = self._lines[request.service.name]
+        line.upstreams_respond = bool(batch.results) or not batch.probed_names
         chosen = None if best is None else best[1]
         if chosen is not None and not self._take_turn(request, chosen):
             chosen = None
--- a/egrethall/entry/_prober.py
+++ b/egrethall/entry/_prober.py
@@ -1,6 +1,6 @@
 """Probes upstreams for their load on the connections that requests then use."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 import anyio
@@ -114,17 +114,23 @@
             self._tasks.start_soon(self._run_probe, state, health_path, batch)
 
     def start_check(
-        self, state: UpstreamState, health_path: str, on_failure: Callable[[], None]
+        self,
+        state: UpstreamState,
+        health_path: str,
+        on_failure: Callable[[], Awaitable[None]],
     ) -> None:
         """Starts a probe of one upstream; calls ``on_failure`` if it fails."""
         self._tasks.start_soon(self._run_check, state, health_path, on_failure)
 
     async def _run_check(
-        self, state: UpstreamState, health_path: str, on_failure: Callable[[], None]
+        self,
+        state: UpstreamState,
+        health_path: str,
+        on_failure: Callable[[], Awaitable[None]],
     ) -> None:
         try:
             if await self.probe_once(state, health_path) is None:
-                on_failure()
+                await on_failure()
         except Exception:
             # An exception in one probe must not end the process.
             logger.exception("probe failed", upstream=state.name)
@@ -187,7 +193,8 @@
             if connection is not None:
                 await connection.close()
             self._path.observe_failure(state.name)
-            if penalize:
+            # A lost path says nothing about the upstream.
+            if penalize and self._path.available:
                 state.observe_failure(
                     "no connection"
                     if isinstance(error, ConnectError)
--- a/egrethall/entry/_request.py
+++ b/egrethall/entry/_request.py
@@ -26,6 +26,10 @@
     #: Version of the configuration that the request was routed by.
     version: int = 0
     upstream: str = ""
+    #: Name of the instance to which the request was forwarded.
+    forwarded_to: str = ""
+    #: Name of the instance that has forwarded it to this one.
+    forwarded_from: str = ""
     #: Number of attempts, hedged ones included.
     attempts: int = 0
     #: Failed attempts, each as ``upstream:detail``.
@@ -62,6 +66,10 @@
     #: Monotonic clock reading by which the response is due.
     deadline_at_seconds: float
     record: RequestRecord
+    #: Identifies a forwarded request in :class:`CrashGuard`; None for a caller's own.
+    fingerprint: bytes | None = None
+    #: False if another instance has forwarded the request to this one.
+    may_be_forwarded: bool = True
 
     @property
     def repeatable(self) -> bool:
@@ -95,6 +103,8 @@
 
     def make_fingerprint(self, crashes: CrashGuard) -> bytes:
         """Returns the digest that identifies the request in :class:`CrashGuard`."""
+        if self.fingerprint is not None:
+            return self.fingerprint
         return crashes.make_fingerprint(
             self.method, self.target, self.head.key, self.body
         )
@@ -115,6 +125,8 @@
     #: Closes the connection that ``remaining_body`` reads from. If set, it must be
     #: called even when the body was not read to its end.
     close: Callable[[], Awaitable[None]] | None = None
+    #: True if the caller is to use another connection for its next request.
+    closes_connection: bool = False
 
 
 class SendResult(enum.Enum):
--- a/egrethall/entry/_sender.py
+++ b/egrethall/entry/_sender.py
@@ -4,13 +4,14 @@
 
 from egrethall.entry._crash_observer import CrashObserver
 from egrethall.entry._hedger import Hedger
+from egrethall.entry._peer_forwarder import PeerForwarder
 from egrethall.entry._placer import Placer
 from egrethall.entry._prober import ProbeResult
 from egrethall.entry._race import AttemptRace
 from egrethall.entry._request import AdmittedRequest, Response, SendOutcome, SendResult
 from egrethall.entry._upstream_exchange import UpstreamExchange
 from egrethall.forwarding import RetryBudget
-from egrethall.placement import CrashGuard
+from egrethall.placement import CrashGuard, UpstreamPath
 from egrethall.types import (
     Clock,
     RandomSource,
@@ -33,6 +34,11 @@
 MAX_RETRY_AFTER_SECONDS = 0.2
 
 
+#: Time for which a service's requests are not forwarded after other instances declined
+#: them too, unless this instance reaches no upstream of any service.
+UNREACHABLE_SECONDS = 2.0
+
+
 @dataclass
 class _AttemptHistory:
     """What is known from the attempts of one request so far."""
@@ -54,6 +60,7 @@
 
     - A request that may have run is sent again only if its route allows it.
     - Retries are limited by a budget, so that they do not overload a failing service.
+    - While this instance reaches no upstream, requests are forwarded to another one.
     - A request that is suspected of crashing upstreams is not sent again.
     """
 
@@ -65,6 +72,8 @@
         budget: RetryBudget,
         crashes: CrashGuard,
         crash_observer: CrashObserver,
+        path: UpstreamPath,
+        forwarder: PeerForwarder,
         clock: Clock,
         random_source: RandomSource,
     ) -> None:
@@ -74,17 +83,27 @@
         self._budget = budget
         self._crashes = crashes
         self._crash_observer = crash_observer
+        self._path = path
+        self._forwarder = forwarder
+        #: Until when requests of a service are not forwarded, by service, since other
+        #: instances reach its upstreams no more than this one.
+        self._unreachable_until_seconds: dict[str, float] = {}
         self._clock = clock
         self._random = random_source
 
     async def send(self, request: AdmittedRequest) -> Response:
         """Returns the response of an upstream, or raises :class:`RefusedError`."""
-        self._budget.record_call(request.service.name)
         history = _AttemptHistory(self._check_crash_suspicion(request))
+        if self._is_cut_off(request):
+            return await self._forward(request, history)
+        # The retries of a forwarded request are those of the other instance.
+        self._budget.record_call(request.service.name)
         while True:
             try:
                 probe = await self._place(request, frozenset(history.excluded))
             except RefusedError as error:
+                if self._may_be_served_elsewhere(request, error):
+                    return await self._forward(request, history)
                 return self._resolve_unplaced(history, error)
             race = AttemptRace(
                 request,
@@ -104,6 +123,58 @@
                 request.record.detail = f"Not sent again: {no_retry_reason}."
                 return self._resolve_failure(history, outcome, request.record.detail)
 
+    def _is_cut_off(self, request: AdmittedRequest) -> bool:
+        return request.may_be_forwarded and not self._path.available
+
+    def _may_be_served_elsewhere(
+        self, request: AdmittedRequest, error: RefusedError
+    ) -> bool:
+        if self._is_cut_off(request):
+            return True
+        # New connections may fail while those that exist live on.
+        now_seconds = self._clock.monotonic_seconds()
+        return (
+            request.may_be_forwarded
+            and error.refusal.reason is RefusalReason.UPSTREAMS_UNREACHABLE
+            and self._unreachable_until_seconds.get(request.service.name, now_seconds)
+            <= now_seconds
+        )
+
+    async def _forward(
+        self, request: AdmittedRequest, history: _AttemptHistory
+    ) -> Response:
+        """Returns the response that another instance received, or raises."""
+        while True:
+            try:
+                outcome = await self._forwarder.forward(request)
+            except RefusedError as error:
+                return self._resolve_unplaced(history, error)
+            if outcome.response is not None:
+                await _close(history.error_response)
+                return outcome.response
+            if outcome.result is SendResult.NOT_RUN:
+                return self._resolve_unplaced(
+                    history, self._refuse_unreachable(request)
+                )
+            history.possible_runs += 1
+            request.record.failures.append(f"{outcome.upstream}:{outcome.detail}")
+            no_retry_reason = self._take_retry(request, history, outcome)
+            if no_retry_reason:
+                request.record.detail = f"Not sent again: {no_retry_reason}."
+                return self._resolve_failure(history, outcome, request.record.detail)
+
+    def _refuse_unreachable(self, request: AdmittedRequest) -> RefusedError:
+        self._unreachable_until_seconds[request.service.name] = (
+            self._clock.monotonic_seconds() + UNREACHABLE_SECONDS
+        )
+        return RefusedError(
+            Refusal(
+                RefusalReason.UPSTREAMS_UNREACHABLE,
+                "Neither this instance nor the others asked reach an upstream.",
+                self._random.uniform(MIN_RETRY_AFTER_SECONDS, MAX_RETRY_AFTER_SECONDS),
+            )
+        )
+
     async def _place(
         self, request: AdmittedRequest, excluded: frozenset[str]
     ) -> ProbeResult:
--- a/egrethall/entry/tests/steps/peer_links_steps.py
+++ b/egrethall/entry/tests/steps/peer_links_steps.py
@@ -5,7 +5,7 @@
 from egrethall.entry._peer_links import PeerLinks
 from egrethall.entry._settings import EntryBounds, EntrySettings
 from egrethall.fleet import ROUND_SECONDS, FleetMembers
-from egrethall.placement import CrashGuard
+from egrethall.placement import CrashGuard, UpstreamPath
 from egrethall.quota import ExcessTolerance, FleetAllowances
 from egrethall.records import RecordCache, RecordFollower, SourceStatus
 from egrethall.types import (
@@ -58,6 +58,7 @@
             status,
             allowances,
             CrashGuard(self.clock),
+            UpstreamPath(lambda: 0, self.clock),
             is_leaving=lambda: False,
             clock=self.clock,
         )
--- a/egrethall/entry/tests/steps/upstream_path_steps.py
+++ b/egrethall/entry/tests/steps/upstream_path_steps.py
@@ -1,9 +1,14 @@
+import random
+import signal
+import socket
 import time
 from collections import Counter
+from concurrent.futures import ThreadPoolExecutor
 
+import msgpack
 from behave import given, then, when
 
-from egrethall.entry.tests.entry_callers import EntryCallers
+from egrethall.entry.tests.entry_callers import EntryCallers, make_unique_name
 from standins.linked_fleet import LinkedFleet
 
 #: What connections of a cut-off instance meet.
@@ -55,3 +60,155 @@
     runs = Counter(run["attempt"] for run in context.fleet.read_runs())
     twice = {attempt: count for attempt, count in runs.items() if count > 1}
     assert not twice, twice
+
+
+def cut_off(context, entries):
+    """Cuts instances off and waits until they know."""
+    context.fleet.cut_off(entries, silent=True)
+
+    def know():
+        context.callers.call_each(2 * len(entries), "read", "cuka-key", entries)
+        return all(
+            "path to upstreams lost" in context.fleet.read_log(entry)
+            for entry in entries
+        )
+
+    context.fleet.wait_until(know, 10.0, "path lost")
+    # The others learn in a round of heartbeats.
+    time.sleep(1.0)
+    for name in context.fleet.upstream_names:
+        context.fleet.set_behaviour(name)
+
+
+@given("every instance has lost the path to upstreams")
+def step_impl(context):
+    cut_off(context, context.fleet.entry_names)
+
+
+@given("entry-0 has lost the path to upstreams")
+def step_impl(context):
+    cut_off(context, ["entry-0"])
+    context.log_before = len(context.fleet.read_log("entry-0"))
+
+
+@when("{count:d} {kind} requests are sent to all instances")
+def step_impl(context, count, kind):
+    context.callers.call_each(count, kind, "cuka-key", context.fleet.entry_names)
+
+
+@when("{count:d} {kind} requests are sent to entry-0")
+def step_impl(context, count, kind):
+    context.callers.call_each(count, kind, "cuka-key", ["entry-0"])
+
+
+@when("{count:d} requests within the burst of 4 are sent to entry-0")
+def step_impl(context, count):
+    context.callers.call_each(count, "read", "dune-key", ["entry-0"])
+
+
+@when("the path returns")
+def step_impl(context):
+    context.fleet.heal()
+
+
+@when("a trade request is sent to entry-0 and entry-1 is killed 0.4 s later")
+def step_impl(context):
+    with ThreadPoolExecutor(1) as pool:
+        path = f"/trade/{make_unique_name()}"
+        call = pool.submit(context.callers.call, path, "cuka-key", entry="entry-0")
+        time.sleep(0.4)
+        context.fleet.kill("entry-1")
+        context.reply = call.result()
+
+
+@when("entry-1 is paused while {count:d} trade requests are sent to entry-0")
+def step_impl(context, count):
+    process = context.fleet.processes["entry-1"]
+    process.send_signal(signal.SIGSTOP)
+    context.callers.call_each(count, "trade", "cuka-key", ["entry-0"])
+    process.send_signal(signal.SIGCONT)
+    time.sleep(1.0)
+
+
+@when(
+    "{count:d} trade requests are sent to entry-0 and entry-1 gets SIGTERM 0.3 s later"
+)
+def step_impl(context, count):
+    with ThreadPoolExecutor(1) as pool:
+        calls = pool.submit(
+            context.callers.call_each, count, "trade", "cuka-key", ["entry-0"]
+        )
+        time.sleep(0.3)
+        context.fleet.send_signal("entry-1", signal.SIGTERM)
+        calls.result()
+
+
+@when("the same trade request runs through entry-0 and entry-1 while their links break")
+def step_impl(context):
+    context.path = f"/trade/{make_unique_name()}"
+
+    def call(entry):
+        return context.callers.call(context.path, "cuka-key", entry=entry)
+
+    with ThreadPoolExecutor(2) as pool:
+        calls = [pool.submit(call, entry) for entry in CUT_OFF]
+        time.sleep(0.3)
+        context.fleet.cut_off(CUT_OFF, refuse=True)
+        context.fleet.reset_links(CUT_OFF)
+        statuses = {call.result().status for call in calls}
+    assert statuses == {502}, statuses
+
+
+@when("it is sent to entry-2 1 s later")
+def step_impl(context):
+    time.sleep(1.0)
+    context.reply = context.callers.call(context.path, "cuka-key", entry="entry-2")
+
+
+@when("{count:d} malformed messages are sent to the peer address of entry-1")
+def step_impl(context, count):
+    rng = random.Random(5)
+    port = context.fleet.ports["peer-entry-1"]
+    for number in range(count):
+        body = rng.randbytes(rng.randrange(200))
+        if number % 2:
+            # A valid message that is not the head of a request.
+            body = msgpack.packb([number, body, {"a": [1]}, None] * (number % 7))
+        with socket.create_connection(("127.0.0.1", port)) as connection:
+            connection.sendall(len(body).to_bytes(4, "big") + body)
+
+
+@then("each is refused within {seconds:f} s as {reason} on a connection that closes")
+def step_impl(context, seconds, reason):
+    for reply in context.callers.replies:
+        assert reply.status == 503, reply
+        assert reply.headers["x-refusal-reason"] == reason, reply
+        assert reply.headers["connection"] == "close", reply
+        assert float(reply.headers["retry-after"]) > 0, reply
+        assert reply.elapsed_seconds < seconds, reply
+
+
+@then("no instance is ready")
+def step_impl(context):
+    assert not any(map(context.fleet.is_ready, context.fleet.entry_names))
+
+
+@then("within {seconds:d} s requests to entry-0 are not forwarded any more")
+def step_impl(context, seconds):
+    def log_since():
+        return context.fleet.read_log("entry-0")[context.log_before :]
+
+    context.fleet.wait_until(
+        lambda: "path to upstreams available again" in log_since(), seconds, "a path"
+    )
+    returned_at = len(context.fleet.read_log("entry-0"))
+    context.callers.call_each(10, "trade", "cuka-key", ["entry-0"])
+    assert all(reply.status == 200 for reply in context.callers.replies)
+    log = context.fleet.read_log("entry-0")[returned_at:]
+    assert "forwarded_to=entry" not in log, log
+
+
+@then("no upstream failed in the view of entry-0 since it lost the path")
+def step_impl(context):
+    log = context.fleet.read_log("entry-0")[context.log_before :]
+    assert "upstream failed" not in log, log
--- a/egrethall/entry/tests/virtual_fleet.py
+++ b/egrethall/entry/tests/virtual_fleet.py
@@ -16,7 +16,7 @@
     EXCHANGE_TIMEOUT_SECONDS,
     RESPONSE_TIMEOUT_SECONDS,
 )
-from egrethall.placement import CrashGuard
+from egrethall.placement import CrashGuard, UpstreamPath
 from egrethall.quota import ExcessTolerance, FleetAllowances
 from egrethall.records import RecordCache, RecordFollower, SourceStatus
 from egrethall.types import (
@@ -150,6 +150,7 @@
             status,
             FleetAllowances(EXCESS, True, clock, rng, name),
             CrashGuard(clock),
+            UpstreamPath(lambda: 0, clock),
             is_leaving=lambda: False,
             clock=clock,
             read_records=fleet.read_records,
--- a/egrethall/fleet/_members.py
+++ b/egrethall/fleet/_members.py
@@ -54,6 +54,8 @@
     reads_store: bool = False
     #: True if it calls the store, even if the store does not answer.
     polls_store: bool = False
+    #: False while it reaches no upstream.
+    reaches_upstreams: bool = True
     #: Clock reading when its last heartbeat arrived; before the first one, when a
     #: heartbeat of another instance named it.
     last_seen_at_seconds: float = 0.0
@@ -118,6 +120,7 @@
         member.run = heartbeat.run
         member.reads_store = heartbeat.reads_store
         member.polls_store = heartbeat.polls_store
+        member.reaches_upstreams = heartbeat.reaches_upstreams
         member.last_seen_at_seconds = self._clock.monotonic_seconds()
         member.confirmed = True
         member.known_count = heartbeat.known_count
@@ -303,6 +306,10 @@
         """Duration of one cycle, in which each instance is sent one heartbeat."""
         return count_rounds_per_cycle(len(self._members)) * self._round_seconds
 
+    def count_sending(self) -> int:
+        """Returns the number of instances that reach upstreams, this one included."""
+        return 1 + sum(member.reaches_upstreams for member in self._members.values())
+
     @property
     def fleet_size(self) -> int:
         """Number of known instances, this one and silent ones included."""
--- a/egrethall/fleet/_messages.py
+++ b/egrethall/fleet/_messages.py
@@ -11,7 +11,7 @@
 from egrethall.types import EgrethallError
 
 #: Version of the datagram format; datagrams of another version are dropped.
-FORMAT_VERSION = 6
+FORMAT_VERSION = 7
 
 
 #: Message kinds, as encoded in a datagram.
@@ -123,6 +123,8 @@
     relay_requested: bool = False
     #: False while a replacement process only learns of the others and of their usage.
     settled: bool = True
+    #: False while the sender reaches no upstream.
+    reaches_upstreams: bool = True
 
 
 Message = Heartbeat | UsageReports | CollectorAnswer
@@ -174,13 +176,15 @@
         heartbeat.polls_store,
         heartbeat.relay_requested,
         heartbeat.settled,
+        heartbeat.reaches_upstreams,
     )
 
 
 def _decode_heartbeat(fields: Sequence[Any]) -> Heartbeat:
     name, run, address, zone, leaving, revision, *rest = fields
     reads_store, since_outage_seconds, usage, crashes, members, *rest = rest
-    sequence, known_count, polls_store, relay_requested, settled = rest
+    sequence, known_count, polls_store, relay_requested, *rest = rest
+    settled, reaches_upstreams = rest
     return Heartbeat(
         name=str(name),
         run=int(run),
@@ -202,6 +206,7 @@
         known_count=int(known_count),
         relay_requested=bool(relay_requested),
         settled=bool(settled),
+        reaches_upstreams=bool(reaches_upstreams),
     )
 
 
--- a/egrethall/fleet/tests/steps/member_steps.py
+++ b/egrethall/fleet/tests/steps/member_steps.py
@@ -17,7 +17,7 @@
     Heartbeat,
     MalformedMessageError,
     OrganisationUsage,
-    RecordServer,
+    PeerServer,
     RecordSources,
     UsageReports,
     decode_message,
@@ -472,7 +472,7 @@
     records = tuple(Record(f"servers/{n}", n + 1, value % n) for n in range(count))
     context.cache.apply(RecordBatch(count, records, whole=True))
     context.value_bytes = sum(len(record.value) for record in records)
-    serve_records(context, RecordServer(context.address, context.cache).run)
+    serve_records(context, PeerServer(context.address, context.cache, None).run)
 
 
 @given("an instance that serves records that are {fault}")
--- a/egrethall/placement/__init__.py
+++ b/egrethall/placement/__init__.py
@@ -21,7 +21,7 @@
     REPUBLISH_GRACE_SECONDS,
     UpstreamTable,
 )
-from egrethall.placement._upstream_path import UpstreamPath
+from egrethall.placement._upstream_path import REQUIRED_RESPONSES, UpstreamPath
 from egrethall.placement._upstream_state import UpstreamState
 from egrethall.placement._waiting_line import WaitingLine, WaitingRequest
 
@@ -36,6 +36,7 @@
     "PeerInstance",
     "ProbeAllowance",
     "REPUBLISH_GRACE_SECONDS",
+    "REQUIRED_RESPONSES",
     "RateLimitShares",
     "CandidateLoad",
     "UpstreamPath",
--- a/egrethall/placement/_upstream_path.py
+++ b/egrethall/placement/_upstream_path.py
@@ -36,6 +36,11 @@
         self._responded_at_seconds = float("-inf")
         self._lost_at_seconds: float | None = None
         self._suspected = anyio.Event()
+        self._subscribers: list[Callable[[], None]] = []
+
+    def subscribe(self, subscriber: Callable[[], None]) -> None:
+        """Calls ``subscriber`` whenever the path is lost or available again."""
+        self._subscribers.append(subscriber)
 
     @property
     def available(self) -> bool:
@@ -48,10 +53,6 @@
         threshold = min(SUSPICIOUS_FAILURES, max(1, self._count_upstreams()))
         return len(self._unresponsive) >= threshold
 
-    def has_responses_since(self, at_seconds: float) -> bool:
-        """Returns whether any upstream has responded since a clock reading."""
-        return self._responded_at_seconds >= at_seconds
-
     async def wait_for_suspicion(self) -> None:
         """Waits until a check of the path is due."""
         while not self.is_suspicious:
@@ -74,6 +75,7 @@
         )
         self._lost_at_seconds = None
         self._responding.clear()
+        self._notify()
 
     def observe_failure(self, upstream: str) -> None:
         """Records that an upstream did not respond or could not be connected to."""
@@ -96,3 +98,8 @@
                 self._lost_at_seconds - self._responded_at_seconds, 3
             ),
         )
+        self._notify()
+
+    def _notify(self) -> None:
+        for subscriber in self._subscribers:
+            subscriber()
--- a/egrethall/placement/_waiting_line.py
+++ b/egrethall/placement/_waiting_line.py
@@ -36,6 +36,8 @@
         #: Monotonic clock reading before which no upstream is looked for, since none
         #: was found shortly before.
         self.next_attempt_at_seconds = float("-inf")
+        #: Whether any upstream responded when one was last looked for.
+        self.upstreams_respond = True
 
     @property
     def occupied(self) -> bool:
--- a/egrethall/types/_refusals.py
+++ b/egrethall/types/_refusals.py
@@ -36,6 +36,7 @@
     ALLOWANCE_UNAVAILABLE = ("allowance-unavailable", 503, RequestRun.NO)
     OVERLOADED = ("overloaded", 503, RequestRun.NO)
     NO_UPSTREAM = ("no-upstream", 503, RequestRun.NO)
+    UPSTREAMS_UNREACHABLE = ("upstreams-unreachable", 503, RequestRun.NO)
     UPSTREAM_REFUSED = ("upstream-refused", 503, RequestRun.NO)
     STOPPING = ("stopping", 503, RequestRun.NO)
     UPSTREAM_TIMEOUT = ("upstream-timeout", 504, RequestRun.UNKNOWN)
