--- a/egrethall/ingress/tests/steps/refusal_steps.py
+++ b/egrethall/ingress/tests/steps/refusal_steps.py
@@ -27,6 +27,7 @@
     RefusalReason.OUTCOME_UNKNOWN,
     RefusalReason.OVERLOADED,
     RefusalReason.NO_UPSTREAM,
+    RefusalReason.UPSTREAMS_UNREACHABLE,
     RefusalReason.UPSTREAM_REFUSED,
     RefusalReason.UPSTREAM_TIMEOUT,
 }
