Send requests in flight elsewhere when the path is lost

When the path is found lost, attempts at a request that may run once more are given up and the request is forwarded. Attempts in flight count as possible runs, within max_attempts, and a retry is taken from the budget before they are given up, so that those for which none is left keep their chance of a response.

--- a/egrethall/entry/_race.py
+++ b/egrethall/entry/_race.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from egrethall.entry._abandonment import AbandonPolicy
 from egrethall.entry._prober import ProbeResult
 from egrethall.entry._request import AdmittedRequest, SendOutcome, SendResult
 from egrethall.placement import HedgePolicy, UpstreamState
@@ -23,7 +24,8 @@
     """Runs one attempt and at most one hedged attempt; the first response wins.
 
     The other attempt is cancelled. A failed attempt does not end the race while the
-    other one is running. A request that must not run twice is never hedged.
+    other one is running. A request that must not run twice is neither hedged nor
+    abandoned.
     """
 
     def __init__(
@@ -32,11 +34,16 @@
         attempt: AttemptRunner,
         place_hedge: HedgePlacer,
         policy: HedgePolicy,
+        abandon_policy: AbandonPolicy,
     ) -> None:
         self._request = request
         self._attempt = attempt
         self._place_hedge = place_hedge
         self._policy = policy
+        self._abandon_policy = abandon_policy
+        #: Names of the upstreams of the attempts in flight.
+        self._running: list[str] = []
+        self._abandoned = False
         self._attempt_ended = anyio.Event()
         self._started_count = 0
         #: Outcomes of the attempts that ended, in that order. A cancelled attempt has
@@ -55,10 +62,16 @@
             tasks.start_soon(self._run_attempt, probe)
             self._started_count = 1
             tasks.start_soon(self._hedge_if_slow, tasks, probe.state, possible_runs)
+            tasks.start_soon(self._abandon_if_lost, possible_runs)
             while not self._is_decided():
                 self._attempt_ended = anyio.Event()
                 await self._attempt_ended.wait()
             tasks.cancel_scope.cancel()
+        if self._abandoned and self._find_answered() is None:
+            self.outcomes += [
+                SendOutcome(SendResult.ABANDONED, "abandoned", upstream)
+                for upstream in self._running
+            ]
         winner = self._find_answered() or self.outcomes[-1]
         for loser in self.outcomes:
             if loser is not winner and loser.response and loser.response.close:
@@ -66,6 +79,8 @@
         return winner
 
     def _is_decided(self) -> bool:
+        if self._abandoned:
+            return True
         if not self.outcomes:
             return False
         return (
@@ -79,9 +94,23 @@
         return next(answered, None)
 
     async def _run_attempt(self, probe: ProbeResult) -> None:
-        self.outcomes.append(await self._attempt(self._request, probe))
+        upstream = probe.state.name
+        self._running.append(upstream)
+        outcome = await self._attempt(self._request, probe)
+        self._running.remove(upstream)
+        self.outcomes.append(outcome)
         self._attempt_ended.set()
 
+    async def _abandon_if_lost(self, possible_runs: int) -> None:
+        await self._abandon_policy.wait()
+        ended_runs = sum(o.result is not SendResult.NOT_RUN for o in self.outcomes)
+        in_flight = len(self._running)
+        if not in_flight or self._is_decided():
+            return
+        if self._abandon_policy.claim(possible_runs + ended_runs + in_flight):
+            self._abandoned = True
+            self._attempt_ended.set()
+
     async def _hedge_if_slow(
         self, tasks: anyio.abc.TaskGroup, state: UpstreamState, possible_runs: int
     ) -> None:
--- a/egrethall/entry/_request.py
+++ b/egrethall/entry/_request.py
@@ -144,6 +144,8 @@
     UNTRUSTED = "untrusted"
     #: The deadline passed before the response was complete.
     TIMED_OUT = "timed-out"
+    #: The path to upstreams was lost before the response was complete.
+    ABANDONED = "abandoned"
 
 
 @dataclass(frozen=True)
--- a/egrethall/entry/_sender.py
+++ b/egrethall/entry/_sender.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from egrethall.entry._abandonment import PathLossPolicy
 from egrethall.entry._crash_observer import CrashObserver
 from egrethall.entry._hedger import Hedger
 from egrethall.entry._peer_forwarder import PeerForwarder
@@ -94,11 +95,12 @@
     async def send(self, request: AdmittedRequest) -> Response:
         """Returns the response of an upstream, or raises :class:`RefusedError`."""
         history = _AttemptHistory(self._check_crash_suspicion(request))
-        if self._is_cut_off(request):
-            return await self._forward(request, history)
-        # The retries of a forwarded request are those of the other instance.
-        self._budget.record_call(request.service.name)
+        if not self._is_cut_off(request):
+            # The calls and retries of a forwarded one are those of the other instance.
+            self._budget.record_call(request.service.name)
         while True:
+            if self._is_cut_off(request):
+                return await self._forward(request, history)
             try:
                 probe = await self._place(request, frozenset(history.excluded))
             except RefusedError as error:
@@ -110,6 +112,7 @@
                 self._exchange.attempt,
                 self._hedger.place,
                 self._hedger.policy,
+                PathLossPolicy(request, self._path, self._forwarder, self._budget),
             )
             outcome = await race.run(probe, history.possible_runs)
             if outcome.result is SendResult.ANSWERED and outcome.response is not None:
@@ -248,6 +251,9 @@
         fingerprint = history.fingerprint
         if fingerprint is not None and self._crashes.is_quarantined(fingerprint):
             return "upstreams were lost while they ran it"
+        if outcome.result is SendResult.ABANDONED:
+            # The retry was taken from the budget when the attempt was abandoned.
+            return ""
         if not self._budget.take_token(request.service.name):
             return "the budget of repeats is used up"
         return ""
--- a/egrethall/entry/tests/race.feature
+++ b/egrethall/entry/tests/race.feature
@@ -25,3 +25,16 @@
     When a request that must not run twice is sent
     Then the outcome is answered from u-0
     And no upstream was selected for a hedged attempt
+
+  Scenario Outline: A request is abandoned only if it may run again and has no response
+    Given an upstream that answers after <first_ms> ms and a hedged attempt that answers after 600 ms
+    And it is abandoned after <abandoned_ms> ms
+    When <request> is sent
+    Then the outcome is <outcome> from u-0
+
+    Examples:
+      | first_ms | abandoned_ms | request                           | outcome   |
+      | 300      | 100          | a repeatable request              | abandoned |
+      | 50       | 100          | a repeatable request              | answered  |
+      | 300      | 100          | a request that must not run twice | answered  |
+      | 400      | 250          | a repeatable request              | answered  |
--- a/egrethall/entry/tests/steps/race_steps.py
+++ b/egrethall/entry/tests/steps/race_steps.py
@@ -11,6 +11,7 @@
 
 #: Whether to hedge is first checked after 0.35 of it, at 140 ms.
 OBJECTIVE_SECONDS = 0.4
+MAX_ATTEMPTS = 2
 
 
 class RaceSubject:
@@ -19,6 +20,7 @@
     def __init__(self, first, second):
         self.script = {"u-0": first, "u-1": second}
         self.hedge_count = 0
+        self.abandoned_ms = 10_000
         self.ends_in_one_cycle = False
 
     async def attempt(self, request, probe):
@@ -33,6 +35,12 @@
             await anyio.lowlevel.checkpoint()
         return SendOutcome(RESULTS[outcome], outcome, probe.state.name)
 
+    async def wait(self):
+        await anyio.sleep(self.abandoned_ms / 1000)
+
+    def claim(self, possible_runs):
+        return possible_runs < MAX_ATTEMPTS
+
     async def place_hedge(self, request, state, attempts):
         self.hedge_count += 1
         return SimpleNamespace(state=SimpleNamespace(name="u-1"))
@@ -43,7 +51,13 @@
             route = SimpleNamespace(objective_seconds=OBJECTIVE_SECONDS)
             request = SimpleNamespace(repeatable=repeatable, route=route)
             probe = SimpleNamespace(state=SimpleNamespace(name="u-0"))
-            race = AttemptRace(request, self.attempt, self.place_hedge, HedgePolicy())
+            race = AttemptRace(
+                request,
+                self.attempt,
+                self.place_hedge,
+                HedgePolicy(),
+                self,
+            )
             return await race.run(probe, 0)
 
         return anyio.run(run_race)
@@ -66,6 +80,11 @@
     context.subject.ends_in_one_cycle = True
 
 
+@given("it is abandoned after {ms:d} ms")
+def step_impl(context, ms):
+    context.subject.abandoned_ms = ms
+
+
 @when("a repeatable request is sent")
 def step_impl(context):
     context.outcome = context.subject.run(repeatable=True)
--- a/egrethall/entry/tests/steps/upstream_path_steps.py
+++ b/egrethall/entry/tests/steps/upstream_path_steps.py
@@ -169,6 +169,27 @@
     assert statuses == {502}, statuses
 
 
+@given("{count:d} slow requests have been answered")
+def step_impl(context, count):
+    context.callers.call_each(count, "slow", "cuka-key", ["entry-0"])
+
+
+@when(
+    "{count:d} slow requests run through entry-0 while it loses the path to upstreams"
+)
+def step_impl(context, count):
+    with ThreadPoolExecutor(1) as pool:
+        calls = pool.submit(
+            context.callers.call_each, count, "slow", "cuka-key", ["entry-0"]
+        )
+        time.sleep(0.15)
+        context.fleet.cut_off(["entry-0"], silent=True)
+        # Requests that arrive later show the instance that it has lost the path.
+        for number in range(4):
+            context.callers.call(f"/trade/{number}", "cuka-key", entry="entry-0")
+        calls.result()
+
+
 @when("it is sent to entry-2 1 s later")
 def step_impl(context):
     time.sleep(1.0)
--- a/egrethall/entry/tests/upstream_path.feature
+++ b/egrethall/entry/tests/upstream_path.feature
@@ -81,3 +81,10 @@
     When 50 malformed messages are sent to the peer address of entry-1
     And 10 trade requests are sent to entry-0
     Then at least 10 are answered with status 200
+
+  Scenario: Requests in flight when the path is lost run at another upstream if they may
+    Given a linked fleet of 2 entry instances and 4 upstreams
+    And 60 slow requests have been answered
+    And every upstream works for 300 ms
+    When 4 slow requests run through entry-0 while it loses the path to upstreams
+    Then at least 4 are answered with status 200
--- a/egrethall/placement/_upstream_path.py
+++ b/egrethall/placement/_upstream_path.py
@@ -36,6 +36,7 @@
         self._responded_at_seconds = float("-inf")
         self._lost_at_seconds: float | None = None
         self._suspected = anyio.Event()
+        self._lost = anyio.Event()
         self._subscribers: list[Callable[[], None]] = []
 
     def subscribe(self, subscriber: Callable[[], None]) -> None:
@@ -59,6 +60,10 @@
             self._suspected = anyio.Event()
             await self._suspected.wait()
 
+    async def wait_until_lost(self) -> None:
+        """Waits until the path is lost."""
+        await self._lost.wait()
+
     def observe_response(self, upstream: str) -> None:
         """Records that an upstream has responded, whatever its response says."""
         self._responded_at_seconds = self._clock.monotonic_seconds()
@@ -74,6 +79,7 @@
             lost_seconds=round(self._responded_at_seconds - self._lost_at_seconds, 3),
         )
         self._lost_at_seconds = None
+        self._lost = anyio.Event()
         self._responding.clear()
         self._notify()
 
@@ -90,6 +96,7 @@
         if not self.available:
             return
         self._lost_at_seconds = self._clock.monotonic_seconds()
+        self._lost.set()
         logger.warning(
             "path to upstreams lost",
             unresponsive=len(self._unresponsive),
