Leave an upstream alone for the time that its 503 states

The instance sends neither requests nor probes to it for the longest time that a 503 of its run has stated; other instances are not concerned. If all upstreams of a service have asked to wait, requests are refused at once. The check of the path to upstreams leaves them out, and a hedge of a request that runs there is decided without a probe.

--- a/egrethall/entry/_hedger.py
+++ b/egrethall/entry/_hedger.py
@@ -3,11 +3,11 @@
 import structlog
 
 from egrethall.entry._placer import Placer
-from egrethall.entry._prober import Prober, ProbeResult
+from egrethall.entry._prober import UNKNOWN_READING, Prober, ProbeResult
 from egrethall.entry._request import AdmittedRequest
 from egrethall.forwarding import RetryBudget
 from egrethall.placement import CrashGuard, HedgePolicy, UpstreamState
-from egrethall.types import Clock, RefusedError
+from egrethall.types import Clock, RefusedError, UpstreamReading
 
 logger = structlog.get_logger(__name__)
 
@@ -42,13 +42,10 @@
         if not self._may_hedge(request, attempts):
             return None
         elapsed_seconds = self._clock.monotonic_seconds() - request.received_at_seconds
-        running_probe = await self._prober.probe_once(
-            state, request.service.health_path
-        )
         if not self.policy.should_hedge(
             elapsed_seconds,
             request.route.objective_seconds,
-            None if running_probe is None else running_probe.reading,
+            await self._read_load(state, request.service.health_path),
         ):
             return None
         try:
@@ -66,6 +63,16 @@
             return None
         return probe
 
+    async def _read_load(
+        self, state: UpstreamState, health_path: str
+    ) -> UpstreamReading | None:
+        """Returns the load that an upstream reports, or None if it does not respond."""
+        if state.paused_until_seconds > self._clock.monotonic_seconds():
+            # It wants no probes either.
+            return UNKNOWN_READING
+        probe = await self._prober.probe_once(state, health_path)
+        return None if probe is None else probe.reading
+
     def _may_hedge(self, request: AdmittedRequest, attempts: int) -> bool:
         if not request.repeatable or attempts >= request.route.max_attempts:
             return False
--- a/egrethall/entry/_placer.py
+++ b/egrethall/entry/_placer.py
@@ -157,7 +157,8 @@
         if self._find_next_send_seconds(request) > give_up_at_seconds:
             raise self._make_refusal(
                 RefusalReason.OVERLOADED,
-                "All upstreams of the service are at their rate limits.",
+                "All upstreams of the service are at their rate limits or refuse"
+                " requests for a while.",
             )
         attempt_at_seconds = max(
             line.next_attempt_at_seconds, self._clock.monotonic_seconds()
--- a/egrethall/placement/_rate_limits.py
+++ b/egrethall/placement/_rate_limits.py
@@ -68,7 +68,10 @@
 
 
 class RateLimitShares:
-    """Decides whether a request may be sent to an upstream that states a rate limit.
+    """Decides whether a request may be sent to an upstream that restricts requests.
+
+    An upstream may want no requests from this instance for a while, or state a rate
+    limit for the whole fleet.
 
     Each limit is divided equally among a few senders: reachable instances of the
     upstream's availability zone, or of all zones if it has none. They are selected by
@@ -94,18 +97,18 @@
     def find_next_send_seconds(self, state: UpstreamState) -> float:
         """Returns the clock reading from which this instance may send to ``state``.
 
-        It is in the past for an upstream without a limit, and infinite if this instance
-        has no share of the limit.
+        It is in the past for an upstream that restricts nothing, and infinite if this
+        instance has no share of the limit.
         """
         limit_per_second = state.rate_limit_per_second
         if limit_per_second is None:
-            return float("-inf")
+            return state.paused_until_seconds
         share = self._update_share(state, limit_per_second)
         if not share.sender_count or not limit_per_second:
             return float("inf")
         missing_tokens = max(0.0, 1.0 - share.tokens)
         wait_seconds = missing_tokens * share.sender_count / limit_per_second
-        return share.updated_at_seconds + wait_seconds
+        return max(state.paused_until_seconds, share.updated_at_seconds + wait_seconds)
 
     def record_send(self, state: UpstreamState) -> None:
         """Charges a request that is sent to ``state``."""
--- a/egrethall/placement/_table.py
+++ b/egrethall/placement/_table.py
@@ -168,7 +168,7 @@
         by_service = [
             self._random.sample(states, len(states))
             for service in self._by_service
-            if (states := self.find_usable(service))
+            if (states := self._find_unpaused(service))
         ]
         shuffled = self._random.sample(by_service, len(by_service))
         in_turn = chain.from_iterable(zip_longest(*shuffled))
@@ -184,6 +184,15 @@
             and state.entry.availability_zone not in self._zones_out_of_service
         ]
 
+    def _find_unpaused(self, service: str) -> list[UpstreamState]:
+        """Returns the usable upstreams that accept requests from this instance now."""
+        now_seconds = self._clock.monotonic_seconds()
+        return [
+            state
+            for state in self.find_usable(service)
+            if state.paused_until_seconds <= now_seconds
+        ]
+
     def is_usable(self, state: UpstreamState) -> bool:
         """Returns whether an upstream may still receive new requests."""
         return (
--- a/egrethall/placement/_upstream_state.py
+++ b/egrethall/placement/_upstream_state.py
@@ -43,6 +43,7 @@
         self._rate_limit_stated_at_seconds = now_seconds
         #: Whether the upstream has said in a response that it leaves.
         self._leaving = False
+        self._paused_until_seconds = float("-inf")
         self._failure_ratio = 0.0
         self._failure_ratio_at_seconds = now_seconds
 
@@ -70,6 +71,11 @@
         """
         return self._leaving or self.entry.draining
 
+    @property
+    def paused_until_seconds(self) -> float:
+        """Clock reading until which it wants no requests from this instance."""
+        return self._paused_until_seconds
+
     @property
     def rate_limit_per_second(self) -> float | None:
         """Requests per second that it accepts from the whole fleet.
@@ -131,6 +137,8 @@
         if head.leaving and not self._leaving:
             self._leaving = True
             logger.info("upstream leaves", upstream=self.name)
+        if head.retry_after_seconds is not None:
+            self._pause(head.retry_after_seconds)
 
     def observe_success(self) -> None:
         """Records that the upstream responded to a request."""
@@ -164,6 +172,17 @@
             failure_ratio=round(self._failure_ratio, 2),
         )
 
+    def _pause(self, retry_after_seconds: float) -> None:
+        until_seconds = self._clock.monotonic_seconds() + retry_after_seconds
+        if until_seconds <= self._paused_until_seconds:
+            return
+        self._paused_until_seconds = until_seconds
+        logger.info(
+            "upstream refuses for a while",
+            upstream=self.name,
+            retry_after_seconds=retry_after_seconds,
+        )
+
     def _update_failure_ratio(self, outcome: float) -> None:
         decayed = self.failure_ratio
         self._failure_ratio = decayed + FAILURE_WEIGHT * (outcome - decayed)
--- a/egrethall/placement/tests/steps/upstream_steps.py
+++ b/egrethall/placement/tests/steps/upstream_steps.py
@@ -154,6 +154,7 @@
         cold_seconds=0.0,
         rate_limit_per_second=None,
         leaving=False,
+        retry_after_seconds=None,
         idle_seconds=None,
     )
     return replace(head, **fields)
@@ -165,6 +166,24 @@
     context.subject.apply_event(event)
 
 
+@when("upstream a refuses for 3 s, and 1 s later for 1 s")
+def step_impl(context):
+    state = context.subject.table.find_state("a")
+    state.observe_head(make_head(status=503, retry_after_seconds=3.0))
+    context.subject.clock.advance(1.0)
+    state.observe_head(make_head(status=503, retry_after_seconds=1.0))
+
+
+@then("it is refusing 1.9 s later, and no more 0.2 s after that")
+def step_impl(context):
+    subject = context.subject
+    state = subject.table.find_state("a")
+    for seconds, refusing in ((1.9, True), (0.2, False)):
+        subject.clock.advance(seconds)
+        is_refusing = state.paused_until_seconds > subject.clock.monotonic_seconds()
+        assert is_refusing is refusing, seconds
+
+
 @when("upstream a fails 3 times and restarts")
 def step_impl(context):
     context.subject.fail("a", 3)
--- a/egrethall/placement/tests/upstreams.feature
+++ b/egrethall/placement/tests/upstreams.feature
@@ -57,6 +57,11 @@
       | upstream a is removed and published again | b c |
       | upstream a restarts                 | a b c  |
 
+  Scenario: The longest time for which an upstream refuses counts
+    Given upstreams a and b in availability zone east and c in west
+    When upstream a refuses for 3 s, and 1 s later for 1 s
+    Then it is refusing 1.9 s later, and no more 0.2 s after that
+
   Scenario: A new run of an upstream starts without the failures of the previous run
     Given upstreams a and b in availability zone east and c in west
     When upstream a fails 3 times and restarts
--- a/egrethall/platform/_headers.py
+++ b/egrethall/platform/_headers.py
@@ -19,6 +19,7 @@
 _SERVER_LOAD = b"x-server-load"
 _SERVER_LIMIT = b"server-limit"
 _SERVER_LEAVING = b"server-leaving"
+_RETRY_AFTER = b"retry-after"
 _NOT_EXECUTED = b"x-not-executed"
 _SERVER_SIGNATURE = b"x-server-signature"
 _TENANT = b"x-tenant"
@@ -43,6 +44,7 @@
 _USUAL_SLOWNESS_PERCENT = 100.0
 
 MISDIRECTED_REQUEST_STATUS = 421
+UNAVAILABLE_STATUS = 503
 
 
 class PlatformExchangeFormat:
@@ -105,6 +107,9 @@
             / 1000.0,
             rate_limit_per_second=_parse_non_negative(first_values.get(_SERVER_LIMIT)),
             leaving=first_values.get(_SERVER_LEAVING) == b"1",
+            retry_after_seconds=_parse_non_negative(first_values.get(_RETRY_AFTER))
+            if status == UNAVAILABLE_STATUS
+            else None,
             idle_seconds=None if keep_alive is None else float(keep_alive.group(1)),
         )
 
--- a/egrethall/platform/tests/headers.feature
+++ b/egrethall/platform/tests/headers.feature
@@ -60,6 +60,10 @@
       | 200    | server-leaving     | 1          | leaving         | True    |
       | 503    | server-leaving     | 1          | leaving         | True    |
       | 200    | server-leaving     | 0          | leaving         | False   |
+      | 503    | retry-after        | 2.5        | retry_after_seconds | 2.5 |
+      | 200    | retry-after        | 2          | retry_after_seconds | None |
+      | 503    | retry-after        | inf        | retry_after_seconds | None |
+      | 503    | retry-after        | Fri, 31 Dec 2027 23:59:59 GMT | retry_after_seconds | None |
       | 200    | keep-alive         | timeout=10 | idle_seconds    | 10.0    |
       | 200    | keep-alive         | max=5      | idle_seconds    | None    |
 
--- a/egrethall/types/_entry_exchange.py
+++ b/egrethall/types/_entry_exchange.py
@@ -48,6 +48,9 @@
     rate_limit_per_second: float | None
     #: True if the upstream says that it leaves and takes no new work.
     leaving: bool
+    #: Time for which an upstream that refuses wants no requests from this instance;
+    #: None if it does not say.
+    retry_after_seconds: float | None
     #: Time after which the upstream closes the idle connection; None if unknown.
     idle_seconds: float | None
 
--- a/standins/entry_fleet.py
+++ b/standins/entry_fleet.py
@@ -203,6 +203,12 @@
             ]
         return runs
 
+    def read_arrivals(self, name: str) -> list[float]:
+        """Returns the Unix times of all requests to an upstream, probes included."""
+        url = f"http://127.0.0.1:{self.ports[name]}/control/arrivals"
+        arrivals: list[float] = self.client.get(url).json()
+        return arrivals
+
     def read_peak_memory_kilobytes(self, name: str) -> int:
         """Returns the largest resident memory that a process has had."""
         pid = self.processes[name].pid
--- a/standins/platform_upstream.py
+++ b/standins/platform_upstream.py
@@ -5,6 +5,7 @@
 - ``POST /control/behaviour`` with JSON :class:`Behaviour` fields; forgets the runs but
   with ``keep_runs``.
 - ``GET /control/runs`` returns the requests that it began to run, in their order.
+- ``GET /control/arrivals`` returns the Unix times of all requests, probes included.
 """
 
 import asyncio
@@ -54,6 +55,8 @@
     limit_per_second: float = 0.0
     #: Whether each response says that the upstream leaves.
     leaving: bool = False
+    #: Seconds that a refusal of mode shed asks the instance to wait; 0 states none.
+    retry_after_seconds: float = 0.0
 
 
 @dataclass
@@ -89,6 +92,7 @@
         self._slots = slots
         self._behaviour = Behaviour()
         self._runs: list[Run] = []
+        self._arrivals: list[float] = []
         self._running = 0
         self._writers: set[asyncio.StreamWriter] = set()
         #: Clock reading until which it stays away after a crash.
@@ -104,6 +108,8 @@
                 if not request.path.startswith("/control/") and self._is_down():
                     writer.transport.abort()
                     return
+                if not request.path.startswith("/control/"):
+                    self._arrivals.append(time.time())
                 if request.path.startswith("/control/"):
                     writer.write(self._control(request))
                 elif request.path == "/healthz":
@@ -128,10 +134,13 @@
     def _control(self, request: HttpRequest) -> bytes:
         if request.path == "/control/runs":
             return _render(200, {}, json.dumps([vars(r) for r in self._runs]).encode())
+        if request.path == "/control/arrivals":
+            return _render(200, {}, json.dumps(self._arrivals).encode())
         if request.path == "/control/behaviour":
             fields = json.loads(request.body)
             if not fields.pop("keep_runs", False):
                 self._runs.clear()
+                self._arrivals.clear()
             self._behaviour = replace(Behaviour(), **fields)
         return _render(200, {}, b"{}")
 
@@ -173,7 +182,10 @@
             writer.write(_render(421, {**echo, "X-Instance-Id": self._name}, b""))
             return True
         if behaviour.mode == "shed":
-            writer.write(_render(503, {**echo, "X-Not-Executed": "1"}, b""))
+            refusal = {**echo, "X-Not-Executed": "1"}
+            if behaviour.retry_after_seconds:
+                refusal["Retry-After"] = f"{behaviour.retry_after_seconds:g}"
+            writer.write(_render(503, refusal, b""))
             return True
         if behaviour.mode == "full":
             writer.transport.abort()
