Refuse requests that come too late in the grace of a stop

A request that began before an instance stopped taking new ones, and whose body was complete shortly before its end, was sent to an upstream and cut without a response when the process ended, also one that must not run twice (LOST).

While an instance stops, a request whose objective (twice that, if it must not run twice) does not fit into the time until the exit is refused with 503 `stopping`, which says that it has not run; forwarded ones are declined, so that another instance is asked. What is still in flight at the end gets a response before the process ends: 502 if an upstream may have run it, else 503.

--- a/egrethall/entry/_application.py
+++ b/egrethall/entry/_application.py
@@ -11,6 +11,7 @@
 from egrethall.entry._published_state import PublishedState
 from egrethall.entry._request import AdmittedRequest, RequestRecord, Response
 from egrethall.entry._sender import RequestSender
+from egrethall.entry._serving_state import ServingState
 from egrethall.http1 import RequestHead
 from egrethall.placement import HostRoutes, choose_service
 from egrethall.quota import FleetAllowances
@@ -65,6 +66,7 @@
         sender: RequestSender,
         exchange_format: ExchangeFormat,
         observer: RequestObserver,
+        serving: ServingState,
         clock: Clock,
         random_source: RandomSource,
     ) -> None:
@@ -73,6 +75,7 @@
         self._sender = sender
         self._format = exchange_format
         self._observer = observer
+        self._serving = serving
         self._clock = clock
         self._random = random_source
 
@@ -83,7 +86,7 @@
         self._observer.record_start()
         try:
             request = self._admit(received, record)
-            response = await self._sender.send(request)
+            response = await self._send_until_exit(request)
             record.outcome = OUTCOME_ANSWERED if response.status < 500 else "failed"
             record.status = response.status
             return response
@@ -107,6 +110,18 @@
             elapsed = self._clock.monotonic_seconds() - received.received_at_seconds
             self._observer.record_end(record, elapsed)
 
+    async def _send_until_exit(self, request: AdmittedRequest) -> Response:
+        with self._serving.interruptible() as scope:
+            return await self._sender.send(request)
+        if not scope.cancelled_caught:
+            raise RuntimeError("a request ended without a response")
+        if request.record.attempts:
+            raise _make_refusal(
+                RefusalReason.OUTCOME_UNKNOWN,
+                "The instance stopped before a response was complete.",
+            )
+        raise _make_refusal(RefusalReason.STOPPING, "The instance stops.")
+
     def _admit(
         self, received: ReceivedRequest, record: RequestRecord
     ) -> AdmittedRequest:
@@ -134,6 +149,13 @@
                 RefusalReason.NO_UPSTREAM, "The service is not published."
             )
         record.service = service.name
+        if not self._serving.has_time_for(
+            route.objective_seconds, route.kind.repeatable
+        ):
+            raise _make_refusal(
+                RefusalReason.STOPPING,
+                "The instance stops before the request could be answered.",
+            )
         if organisation is not None:
             self._allowances.admit(organisation.name)
         return AdmittedRequest(
--- a/egrethall/entry/_caller_connection.py
+++ b/egrethall/entry/_caller_connection.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import enum
 import json
 from collections.abc import Callable
 
@@ -12,6 +11,7 @@
 
 from egrethall.entry._application import EntryApplication, ReceivedRequest
 from egrethall.entry._request import Response
+from egrethall.entry._serving_state import ServingPhase, ServingState
 from egrethall.http1 import (
     ConnectionLostError,
     RequestHead,
@@ -40,55 +40,6 @@
 logger = structlog.get_logger(__name__)
 
 
-class ServingPhase(enum.Enum):
-    """Phases of an instance from serving to stopped."""
-
-    RUNNING = "running"
-    #: Reports not ready; each connection is closed after its next response.
-    LEAVING = "leaving"
-    #: Idle connections are closed immediately.
-    CLOSING = "closing"
-
-
-class ServingState:
-    """The serving phase, the running requests and the idle connections."""
-
-    def __init__(self) -> None:
-        self.phase = ServingPhase.RUNNING
-        self.running_requests = 0
-        self._idle_scopes: set[anyio.CancelScope] = set()
-        self._request_ended = anyio.Event()
-
-    def begin_request(self) -> None:
-        """Counts a request from the moment at which its first bytes are read."""
-        self.running_requests += 1
-
-    def end_request(self) -> None:
-        """Uncounts a request; pairs with :meth:`begin_request`."""
-        self.running_requests -= 1
-        self._request_ended.set()
-
-    async def wait_until_idle(self) -> None:
-        """Waits until no request is running."""
-        while self.running_requests:
-            self._request_ended = anyio.Event()
-            await self._request_ended.wait()
-
-    def close_idle_connections(self) -> None:
-        """Closes idle connections, and each further one as it becomes idle."""
-        self.phase = ServingPhase.CLOSING
-        for scope in tuple(self._idle_scopes):
-            scope.cancel()
-
-    def add_idle_scope(self, scope: anyio.CancelScope) -> None:
-        """Adds the cancel scope of a connection that waits for a request."""
-        self._idle_scopes.add(scope)
-
-    def remove_idle_scope(self, scope: anyio.CancelScope) -> None:
-        """Removes the cancel scope of a connection that has stopped waiting."""
-        self._idle_scopes.discard(scope)
-
-
 class CallerConnection:
     """Reads requests from one connection in sequence and writes their responses."""
 
--- a/egrethall/entry/_daemon.py
+++ b/egrethall/entry/_daemon.py
@@ -14,12 +14,7 @@
 
 from egrethall.configuration import split_address
 from egrethall.entry._application import EntryApplication
-from egrethall.entry._caller_connection import (
-    DEFAULT_LIMITS,
-    CallerConnection,
-    ServingPhase,
-    ServingState,
-)
+from egrethall.entry._caller_connection import DEFAULT_LIMITS, CallerConnection
 from egrethall.entry._connection_pool import ConnectionPool
 from egrethall.entry._crash_observer import CrashObserver
 from egrethall.entry._event_loop import make_event_loop
@@ -36,6 +31,7 @@
 from egrethall.entry._prober import Prober
 from egrethall.entry._published_state import PublishedState
 from egrethall.entry._sender import RequestSender
+from egrethall.entry._serving_state import ServingPhase, ServingState
 from egrethall.entry._settings import EntrySettings
 from egrethall.entry._settings_file import SettingsFile
 from egrethall.entry._upstream_exchange import UpstreamExchange
@@ -67,6 +63,10 @@
 #: The process exits at least this long before the grace period ends with SIGKILL.
 EXIT_MARGIN_SECONDS = 0.3
 
+#: Time for writing the responses to requests that the exit interrupts, after which the
+#: process still ends before SIGKILL.
+INTERRUPTED_RESPONSE_SECONDS = 0.1
+
 #: Interval at which expired connections are closed, the retry budget is adjusted to the
 #: size of the fleet, and the settings file is checked for changes.
 MAINTENANCE_INTERVAL_SECONDS = 1.0
@@ -100,7 +100,7 @@
         self._run_id = started_at_ms << RUN_ID_RANDOM_BITS | self._random.getrandbits(
             RUN_ID_RANDOM_BITS
         )
-        self._serving = ServingState()
+        self._serving = ServingState(self._clock)
         self._record_cache = RecordCache()
         self._source_status = SourceStatus(self._clock)
         self._upstream_table = UpstreamTable(self._clock, self._random, settings.name)
@@ -280,6 +280,7 @@
             self._sender,
             exchange_format,
             self._observer,
+            self._serving,
             self._clock,
             self._random,
         )
@@ -321,7 +322,7 @@
             + self._settings.bounds.grace_seconds
             - EXIT_MARGIN_SECONDS
         )
-        self._serving.phase = ServingPhase.LEAVING
+        self._serving.leave(exit_at_seconds)
         await anyio.sleep(ACCEPT_AFTER_SIGTERM_SECONDS)
         self._serving.close_idle_connections()
         remaining_seconds = exit_at_seconds - self._clock.monotonic_seconds()
@@ -331,6 +332,9 @@
             logger.warning(
                 "stopping with requests in flight", count=self._serving.running_requests
             )
+            self._serving.interrupt_requests()
+            with anyio.move_on_after(INTERRUPTED_RESPONSE_SECONDS):
+                await self._serving.wait_until_idle()
 
     async def _run_maintenance(self) -> None:
         while True:
--- a/egrethall/entry/_forwarded_requests.py
+++ b/egrethall/entry/_forwarded_requests.py
@@ -9,11 +9,11 @@
 import structlog
 from anyio.abc import SocketStream
 
-from egrethall.entry._caller_connection import ServingPhase, ServingState
 from egrethall.entry._observer import OUTCOME_ANSWERED, RequestObserver
 from egrethall.entry._published_state import PublishedState
 from egrethall.entry._request import AdmittedRequest, RequestRecord, Response
 from egrethall.entry._sender import RequestSender
+from egrethall.entry._serving_state import ServingPhase, ServingState
 from egrethall.fleet import (
     MAX_PART_BYTES,
     Acceptance,
@@ -84,7 +84,7 @@
             with anyio.fail_after(ARRIVAL_TIMEOUT_SECONDS):
                 body = await _receive_body(stream)
                 service = self._published.find_service(head.service)
-                refusal = self._find_reason_to_decline(service)
+                refusal = self._find_reason_to_decline(head, service)
                 await send_frame(stream, encode_acceptance(Acceptance(refusal)))
                 if refusal is not None or service is None:
                     return
@@ -95,9 +95,14 @@
             self._serving.end_request()
 
     def _find_reason_to_decline(
-        self, service: PublishedService | None
+        self, head: ForwardedHead, service: PublishedService | None
     ) -> Refusal | None:
-        if self._serving.phase is ServingPhase.CLOSING:
+        if (
+            self._serving.phase is ServingPhase.CLOSING
+            or not self._serving.has_time_for(
+                head.objective_seconds, head.kind.repeatable
+            )
+        ):
             return Refusal(RefusalReason.STOPPING, "The instance stops.")
         if not self._path.available:
             return Refusal(
--- a/egrethall/entry/tests/operations.feature
+++ b/egrethall/entry/tests/operations.feature
@@ -64,6 +64,23 @@
     And the instance is not ready 0.5 s after the signal
     And the instance exits within 6 s with status 0
 
+  Scenario Outline: A request that arrives late in the grace is not cut without a response
+    Given every upstream works for 600 ms
+    When a <kind> request to entry-1 is complete <seconds> s after SIGTERM
+    Then it is answered with status <status>, and upstreams ran it <runs> times
+
+    Examples:
+      | kind  | seconds | status | runs |
+      | filing | 5.2    | 503    | 0    |
+      | slow  | 5.2     | 503    | 0    |
+      | filing | 3.5    | 200    | 1    |
+
+  Scenario: A request in flight at the end of the grace is answered
+    Given every upstream works for 5000 ms
+    When a filing request to entry-1 is complete 1.5 s after SIGTERM
+    Then it is answered with status 502, and upstreams ran it 1 times
+    And the instance exits within 6 s with status 0
+
   Scenario: An instance that starts beside a running peer is ready within 1 s
     When entry-1 is killed and restarted
     Then the instance is ready within 1 s of its first log line
--- a/egrethall/entry/tests/steps/operation_steps.py
+++ b/egrethall/entry/tests/steps/operation_steps.py
@@ -1,10 +1,12 @@
 import re
 import signal
+import socket
 import time
 
 from behave import given, then, when
 
-from standins.entry_fleet import make_configuration
+from egrethall.entry.tests.entry_callers import make_unique_name
+from standins.entry_fleet import HOST, make_configuration
 
 STORE_FAULTS = {
     "status 503": {"status": 503},
@@ -118,6 +120,36 @@
         worker.join()
 
 
+@when("a {kind} request to {entry} is complete {seconds:f} s after SIGTERM")
+def step_impl(context, kind, entry, seconds):
+    # The rest of the body comes late, on a connection that was open before the signal.
+    port = context.fleet.ports[entry]
+    with socket.create_connection(("127.0.0.1", port)) as connection:
+        connection.settimeout(10.0)
+        connection.sendall(
+            f"POST /{kind}/{make_unique_name()} HTTP/1.1\r\nhost: {HOST}\r\n"
+            "x-attempt-id: late\r\nx-deadline-ms: 9000\r\nx-api-key: cuka-key\r\n"
+            "content-length: 2\r\n\r\na".encode()
+        )
+        time.sleep(0.2)
+        context.fleet.send_signal(entry, signal.SIGTERM)
+        signalled_at = time.monotonic()
+        time.sleep(seconds)
+        connection.sendall(b"b")
+        context.received = b""
+        while data := connection.recv(65536):
+            context.received += data
+    context.status = context.fleet.processes.pop(entry).wait(30)
+    context.exit_seconds = time.monotonic() - signalled_at
+
+
+@then("it is answered with status {status:d}, and upstreams ran it {count:d} times")
+def step_impl(context, status, count):
+    assert context.received.startswith(f"HTTP/1.1 {status} ".encode()), context.received
+    runs = [run for run in context.fleet.read_runs() if run["attempt"] == "late"]
+    assert len(runs) == count, runs
+
+
 @when("{entry} is killed and restarted")
 def step_impl(context, entry):
     context.fleet.kill(entry)
--- a/standins/entry_fleet.py
+++ b/standins/entry_fleet.py
@@ -76,6 +76,7 @@
                 "paths": [
                     make_route("read", "idempotent"),
                     make_route("slow", "idempotent", timeout="5000ms", slo="2000ms"),
+                    make_route("filing", "non_idempotent", timeout="9000ms"),
                     make_route("trade", "non_idempotent"),
                     make_route("open", "idempotent", public=True),
                 ],
