Withdraw an upstream whose entry has a number or an address out of range

One entry with an integer beyond the range of floating point raised OverflowError in its decoder, which is no error of a document: instances stopped following the store (LOST). A port out of range was accepted and raised ValueError wherever the upstream was probed, also in the check of the path, where nothing catches it.

Numbers that are too large, addresses that are not an IP number with a port, names that no header can carry and strings that cannot be printed are faults of the document, and withdraw its upstream, as faults of other fields do. A broken document of an upstream with a dot in its name withdraws that one, and not the one named before the dot. A page of the store that is nested too deeply fails the read. Entries nested too deeply were rejected before.

--- a/egrethall/entry/tests/operations.feature
+++ b/egrethall/entry/tests/operations.feature
@@ -57,6 +57,21 @@
     Then 10 read requests are answered with status 200
     And each instance logged that op/config and servers/u-9 are invalid
 
+  Scenario Outline: An odd entry among those of upstreams does not stop an instance
+    When upstream u-9 has an entry with <oddity>
+    And 60 read requests are sent
+    And configuration version 5 revokes key cuka-key
+    Then within 2 s both instances answer the revoked key with status 401
+    And no process of an instance has ended
+
+    Examples:
+      | oddity                        |
+      | a sequence of 400 digits      |
+      | a born of 5000 digits         |
+      | a zone nested 100000 deep     |
+      | a port of 99999               |
+      | a host that is no IP address  |
+
   Scenario: A graceful stop interrupts no request
     Given every upstream works for 600 ms
     When requests are sent to entry-1 without a pause for 6 s and SIGTERM after 1 s
--- a/egrethall/entry/tests/steps/operation_steps.py
+++ b/egrethall/entry/tests/steps/operation_steps.py
@@ -1,3 +1,4 @@
+import json
 import re
 import signal
 import socket
@@ -57,6 +58,44 @@
     context.fleet.publish("op/evacuate/west", {})
 
 
+#: A literal in the entry of an upstream that another writer has left.
+ODD_FIELDS = {
+    "a sequence of 400 digits": ("sequence", "9" * 400),
+    "a born of 5000 digits": ("born", "9" * 5000),
+    "a zone nested 100000 deep": ("zone", "[" * 100_000 + "]" * 100_000),
+    "a port of 99999": ("address", '"127.0.0.1:99999"'),
+    "a host that is no IP address": ("address", '"nowhere.example:80"'),
+}
+
+
+@when("upstream u-9 has an entry with {oddity}")
+def step_impl(context, oddity):
+    name, literal = ODD_FIELDS[oddity]
+    entry = {
+        "service": "reads",
+        "address": "127.0.0.1:9",
+        "zone": "east",
+        "concurrency_limit": 6,
+        "state": "ready",
+        "sequence": 1,
+        "born": 1,
+        name: "MARK",
+    }
+    document = json.dumps(entry).replace('"MARK"', literal)
+    context.fleet.publish("servers/u-9", document.encode())
+
+
+@when("{count:d} read requests are sent")
+def step_impl(context, count):
+    context.callers.call_many(count, "read", "cuka-key")
+
+
+@then("no process of an instance has ended")
+def step_impl(context):
+    for name in context.fleet.entry_names:
+        assert context.fleet.processes[name].poll() is None, name
+
+
 @when("configuration version {version:d} revokes key cuka-key")
 def step_impl(context, version):
     tenants = [{"name": "cuka", "api_keys": ["next-key"], "rate_per_s": 0, "burst": 0}]
--- a/egrethall/platform/_documents.py
+++ b/egrethall/platform/_documents.py
@@ -2,9 +2,11 @@
 
 import json
 import math
+import re
 from collections.abc import Callable, Mapping
 from typing import TypeVar
 
+from egrethall.configuration import ADDRESS_RULE, is_address
 from egrethall.types import (
     CallerLimits,
     ConfigurationPublished,
@@ -41,87 +43,105 @@
 #: Whether an upstream is draining, by its published state.
 _DRAINING_BY_STATE = {"ready": False, "draining": True}
 
+_UPSTREAM_NAME = re.compile(r"[!-~]+")
+
 Value = TypeVar("Value")
 
 
 class DocumentError(UnusableRecordError):
     """A document in the store is invalid.
 
-    :param path: the document's key and the field that is invalid, joined by dots.
+    :param key: the document's key.
     :param problem: what is wrong with it.
+    :param field: path of the invalid field within the document; empty for the document.
     """
 
-    def __init__(self, path: str, problem: str) -> None:
-        key = path.split(".", 1)[0]
+    def __init__(self, key: str, problem: str, field: str = "") -> None:
         upstream = key.removeprefix(UPSTREAM_PREFIX)
-        super().__init__(f"{path}: {problem}", "" if upstream == key else upstream)
+        super().__init__(
+            f"{key}.{field}: {problem}" if field else f"{key}: {problem}",
+            "" if upstream == key else upstream,
+        )
 
 
 class _JsonObject:
-    """A JSON object and its path within the document."""
+    """A JSON object and its path within the document, which is empty at the top."""
 
-    def __init__(self, value: object, path: str) -> None:
+    def __init__(self, value: object, key: str, path: str = "") -> None:
         if not isinstance(value, Mapping):
-            raise DocumentError(path, "is not a JSON object")
+            raise DocumentError(key, "is not a JSON object", path)
         self._fields = value
+        self._key = key
         self._path = path
 
     def read_string(self, name: str) -> str:
         value = self._fields.get(name)
         if not isinstance(value, str) or not value:
-            raise DocumentError(f"{self._path}.{name}", "is not a non-empty string")
+            raise self.build_error(name, "is not a non-empty string")
+        if not value.isprintable():
+            raise self.build_error(name, "has characters that cannot be printed")
         return value
 
     def read_number(self, name: str, default: float | None = None) -> float:
         value = self._fields.get(name, default)
         if isinstance(value, bool) or not isinstance(value, int | float):
-            raise DocumentError(f"{self._path}.{name}", "is not a number")
-        if not math.isfinite(value) or value < 0:
-            raise DocumentError(f"{self._path}.{name}", "is negative or not finite")
+            raise self.build_error(name, "is not a number")
+        try:
+            usable = math.isfinite(value) and value >= 0
+        except OverflowError:
+            usable = False
+        if not usable:
+            raise self.build_error(name, "is negative or too large")
         return value
 
     def read_count(self, name: str, default: int | None = None) -> int:
         value = self.read_number(name, default)
         if value != int(value):
-            raise DocumentError(f"{self._path}.{name}", "is not an integer")
+            raise self.build_error(name, "is not an integer")
         return int(value)
 
     def read_seconds(self, name: str, default: str | None = None) -> float:
         value = self._fields.get(name, default)
         if not isinstance(value, str):
-            raise DocumentError(f"{self._path}.{name}", "is not a duration")
+            raise self.build_error(name, "is not a duration")
         try:
             return _parse_seconds(value)
         except ValueError:
-            raise DocumentError(f"{self._path}.{name}", "is not a duration") from None
+            raise self.build_error(name, "is not a duration") from None
 
     def read_bool(self, name: str) -> bool:
         value = self._fields.get(name, False)
         if not isinstance(value, bool):
-            raise DocumentError(f"{self._path}.{name}", "is not a boolean")
+            raise self.build_error(name, "is not a boolean")
         return value
 
     def read_list(self, name: str) -> list[tuple[object, str]]:
         value = self._fields.get(name)
         if not isinstance(value, list):
-            raise DocumentError(f"{self._path}.{name}", "is not a list")
-        return [(item, f"{self._path}.{name}[{i}]") for i, item in enumerate(value)]
+            raise self.build_error(name, "is not a list")
+        path = self._find_path(name)
+        return [(item, f"{path}[{i}]") for i, item in enumerate(value)]
 
     def read_object(self, name: str) -> "_JsonObject":
-        return _JsonObject(self._fields.get(name), f"{self._path}.{name}")
+        value = self._fields.get(name)
+        return _JsonObject(value, self._key, self._find_path(name))
 
     def read_objects(
         self, name: str, decode: Callable[["_JsonObject"], Value]
     ) -> tuple[Value, ...]:
         return tuple(
-            decode(_JsonObject(item, path)) for item, path in self.read_list(name)
+            decode(_JsonObject(item, self._key, path))
+            for item, path in self.read_list(name)
         )
 
     def has(self, name: str) -> bool:
         return self._fields.get(name) is not None
 
     def build_error(self, name: str, problem: str) -> DocumentError:
-        return DocumentError(f"{self._path}.{name}", problem)
+        return DocumentError(self._key, problem, self._find_path(name))
+
+    def _find_path(self, name: str) -> str:
+        return f"{self._path}.{name}" if self._path else name
 
 
 def decode_record(record: Record) -> PublishedChange | None:
@@ -182,11 +202,14 @@
     if state not in _DRAINING_BY_STATE:
         raise root.build_error("state", "has an unknown value")
     address = root.read_string("address")
-    host, _, port = address.rpartition(":")
-    if not host or not port.isdigit():
-        raise root.build_error("address", "is not an address with a port")
+    if not is_address(address):
+        raise root.build_error("address", f"is not {ADDRESS_RULE}")
+    name = key.removeprefix(UPSTREAM_PREFIX)
+    # The name is the value of a header of requests.
+    if not _UPSTREAM_NAME.fullmatch(name):
+        raise DocumentError(key, "has a name that is not printable ASCII")
     return UpstreamEntry(
-        name=key.removeprefix(UPSTREAM_PREFIX),
+        name=name,
         service=root.read_string("service"),
         address=address,
         availability_zone=root.read_string("zone"),
--- a/egrethall/platform/_store.py
+++ b/egrethall/platform/_store.py
@@ -126,7 +126,7 @@
             raise RecordSourceError(f"{self._address}: status {status}")
         try:
             response = json.loads(body)
-        except ValueError:
+        except (ValueError, RecursionError):
             raise RecordSourceError(
                 f"{self._address}: the response is not valid JSON"
             ) from None
--- a/egrethall/platform/tests/documents.feature
+++ b/egrethall/platform/tests/documents.feature
@@ -41,10 +41,31 @@
       | state             | "resting"  |
       | service           | 4          |
       | address           | "nowhere"  |
+      | address           | "10.0.0.9:99999" |
+      | address           | "10.0.0.9:0"     |
+      | address           | "nowhere:8080"   |
+      | address           | "10.0.0.9:²"     |
+      | service           | "a\u0000b" |
+      | zone              | "\ud800"   |
+      | sequence          | 1e400      |
+      | concurrency_limit | -1         |
       | zone              | null       |
       | concurrency_limit | "six"      |
       | warmup_left       | "a while"  |
 
+  Scenario Outline: Numbers and nesting beyond what can be decoded withdraw the upstream
+    When the document of upstream <name> is decoded with <extreme>
+    Then it is rejected with an error that names servers/<name>
+    And the error withdraws upstream <name>
+
+    Examples:
+      | name  | extreme                       |
+      | i-1   | a sequence of 400 digits      |
+      | i-1   | a born of 5000 digits         |
+      | i-1   | an address nested 100000 deep |
+      | i-1   | a zone nested 900 deep        |
+      | i-1.b | a sequence of 400 digits      |
+
   Scenario: A value that is not JSON withdraws its upstream
     When the bytes ff 00 are decoded as the document of upstream i-1
     Then it is rejected with an error that names servers/i-1
--- a/egrethall/platform/tests/steps/document_steps.py
+++ b/egrethall/platform/tests/steps/document_steps.py
@@ -57,6 +57,29 @@
     context.decoder.decode()
 
 
+@when(
+    "the document of upstream {name} is decoded with {article} {field}"
+    " of {count:d} digits"
+)
+def step_impl(context, name, article, field, count):
+    decode_with(context, name, field, "9" * count)
+
+
+@when(
+    "the document of upstream {name} is decoded with {article} {field}"
+    " nested {depth:d} deep"
+)
+def step_impl(context, name, article, field, depth):
+    decode_with(context, name, field, "[" * depth + "]" * depth)
+
+
+def decode_with(context, name, field, literal):
+    context.decoder = DocumentDecoder(f"servers/{name}", UPSTREAM)
+    context.decoder.document[field] = "MARK"
+    text = json.dumps(context.decoder.document).replace('"MARK"', literal)
+    context.decoder.decode(text.encode())
+
+
 @when("the bytes {text} are decoded as the document of upstream i-1")
 def step_impl(context, text):
     context.decoder = DocumentDecoder("servers/i-1", UPSTREAM)
