Cut instances off from all upstreams in the soak, and heal its links

The soak had one link to each upstream for all instances, so that no instance lost the path while others kept it; and its links stayed as they were until the next fault, since setting no faults changes none.

Each instance has links of its own, as in the tests of lost paths. A new fault cuts one to all instances off: connections hang, are reset, refused, or live on while new ones are refused. Setting the faults of links replaces all of them.

--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -23,6 +23,14 @@
     {"cut_after_bytes": 150},
 )
 
+#: What all connections of an instance to upstreams meet while it has no path to them.
+PATH_FAULTS = (
+    {"silent": True},
+    {"closed": True},
+    {"refuse": True},
+    {"refuse": True, "reset_requests": True},
+)
+
 UPSTREAM_MODES = ("shed", "reset", "truncate", "extra", "error", "unsigned", "garbage")
 
 WITHDRAWN_KEY = "extra-key"
@@ -57,6 +65,7 @@
             self._harm_upstream,
             self._harm_upstream,
             self._turn_away,
+            self._cut_off,
             self._pause,
             self._kill,
             self._stop,
@@ -77,10 +86,21 @@
         self._healing.append((time.monotonic() + length, heal))
 
     def _harm_link(self) -> None:
-        name = self._random.choice(sorted(self._fleet.links))
+        fleet = self._fleet
+        target = self._random.choice([*fleet.upstream_names, *fleet.store_names])
         faults = self._random.choice(LINK_FAULTS)
-        self._fleet.set_link(name, **faults)
-        self._plan(lambda: self._fleet.set_link(name), f"link {name} {faults}")
+        fleet.set_target_links(target, **faults)
+        self._plan(
+            lambda: fleet.set_target_links(target), f"links to {target} {faults}"
+        )
+
+    def _cut_off(self) -> None:
+        fleet = self._fleet
+        count = self._random.randint(1, len(fleet.entry_names))
+        names = self._random.sample(fleet.entry_names, count)
+        faults = self._random.choice(PATH_FAULTS)
+        fleet.cut_off(names, **faults)
+        self._plan(lambda: fleet.cut_off(names), f"cut off {names} {faults}")
 
     def _harm_upstream(self) -> None:
         name = self._random.choice(self._fleet.upstream_names)
