--- a/egrethall/entry/_race.py
+++ b/egrethall/entry/_race.py
@@ -46,8 +46,8 @@
         self._abandoned = False
         self._attempt_ended = anyio.Event()
         self._started_count = 0
-        #: Outcomes of the attempts that ended, in that order. A cancelled attempt has
-        #: none.
+        #: Outcomes of the attempts that ended, in that order, then of abandoned ones. A
+        #: cancelled attempt has none.
         self.outcomes: list[SendOutcome] = []
 
     async def run(self, probe: ProbeResult, possible_runs: int) -> SendOutcome:
