--- a/review/6/case.py
+++ b/review/6/case.py
@@ -19,9 +19,8 @@
     Store,
     Target,
     call,
-    has_trouble,
     make_configuration,
-    make_directory,
+    run_script,
 )
 
 INSTANCES = 7
@@ -186,15 +185,9 @@
         self.answers[status] = self.answers.get(status, 0) + 1
 
 
-async def main() -> int:
-    record = Record(Path(__file__).with_name("record.txt"))
-    with make_directory() as directory:
-        try:
-            return await Play(record, Path(directory)).run(has_trouble())
-        except Exception as error:
-            record.write(f"the case could not run: {error!r}")
-            return 2
+async def play(record: Record, directory: Path, trouble: bool) -> int:
+    return await Play(record, directory).run(trouble)
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(main()))
+    sys.exit(run_script(Path(__file__).parent, play))
--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -11,12 +11,14 @@
 import contextlib
 import json
 import os
+import random
 import signal
 import socket
 import tempfile
 import time
 import tomllib
 import urllib.parse
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
 
@@ -71,28 +73,34 @@
 
 
 def find_ports(count: int, ip: str = "127.0.0.1") -> list[int]:
-    """Returns ports that are free for TCP and UDP at this moment."""
-    held: list[socket.socket] = []
+    """Returns ports that are free for TCP and UDP at this moment.
+
+    They lie below those that the system gives to outgoing connections, which could
+    otherwise take one while its process is down.
+    """
     ports: list[int] = []
-    try:
-        while len(ports) < count:
-            tcp = socket.socket()
-            held.append(tcp)
-            tcp.bind((ip, 0))
-            port = tcp.getsockname()[1]
-            udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-            held.append(udp)
+    while len(ports) < count:
+        port = random.randrange(10_000, 32_000)
+        if port in _given_ports:
+            continue
+        with (
+            socket.socket() as tcp,
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp,
+        ):
+            tcp.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             try:
+                tcp.bind((ip, port))
                 udp.bind((ip, port))
             except OSError:
                 continue
-            ports.append(port)
-    finally:
-        for each in held:
-            each.close()
+        _given_ports.add(port)
+        ports.append(port)
     return ports
 
 
+_given_ports: set[int] = set()
+
+
 class Store:
     """The platform's store: linearizable, with a history and watches."""
 
@@ -542,3 +550,26 @@
 def has_trouble() -> bool:
     """Returns whether the script is to cause the disruption."""
     return os.environ.get("TROUBLE", "1") != "0"
+
+
+def run_script(
+    folder: Path, play: Callable[[Record, Path, bool], Awaitable[int]]
+) -> int:
+    """Runs a play and returns the exit status of its script.
+
+    SIGTERM, as sent at the time limit, ends the play and its processes.
+    """
+
+    async def run() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        record = Record(folder / "record.txt")
+        with make_directory() as directory:
+            try:
+                return await play(record, Path(directory), has_trouble())
+            except (Exception, asyncio.CancelledError) as error:
+                record.write(f"the case could not run: {error!r}")
+                return 2
+
+    return asyncio.run(run())
