--- a/review/6/case.py
+++ b/review/6/case.py
@@ -34,7 +34,7 @@
 #: The slow machine (node_slow: share 0.15, x 5.5, for 5.5 s) runs for the first of
 #: these times, then stands still for the second one.
 SLOW_RUN_SECONDS = 0.001
-SLOW_STOP_SECONDS = 0.0045
+SLOW_STOP_SECONDS = 0.004
 SLOW_SECONDS = 5.5
 
 #: They go on serving for this long after their entry was removed ("at times many
