--- a/egrethall/entry/tests/uncontrolled_clients.feature
+++ b/egrethall/entry/tests/uncontrolled_clients.feature
@@ -1,3 +1,4 @@
+@isolated
 Feature: Clients that occupy memory and descriptors
   Guards against an instance that ends or hangs because of clients that egrethall does not
   control: many large bodies or responses at once, and more connections than descriptors.
--- a/tools/run_features.py
+++ b/tools/run_features.py
@@ -37,6 +37,10 @@
 #: Other features that run at the same time.
 DEFAULT_JOBS = 2
 
+#: Tag of features that run one at a time, when no other feature runs. Their crowds of
+#: clients occupy the machine.
+ISOLATED_TAG = "@isolated"
+
 
 @dataclass(frozen=True)
 class ScenarioResult:
@@ -80,16 +84,24 @@
     return not FLEET_PACKAGES.isdisjoint(feature.relative_to(ROOT).parts)
 
 
+def is_isolated(feature: Path) -> bool:
+    """Returns whether a feature must run apart from all others."""
+    return feature.read_text(encoding="utf-8").startswith(ISOLATED_TAG)
+
+
 def run_features(
     features: list[Path], fleet_jobs: int, jobs: int
 ) -> list[FeatureResult]:
-    """Runs the features, those with fleets beside the others."""
+    """Runs features with fleets beside the others, and isolated ones at the end."""
+    isolated = [feature for feature in features if is_isolated(feature)]
     with ThreadPoolExecutor(fleet_jobs) as fleets, ThreadPoolExecutor(jobs) as others:
         running = [
             (fleets if starts_fleets(feature) else others).submit(run_feature, feature)
             for feature in features
+            if feature not in isolated
         ]
-        return [result.result() for result in running]
+        results = [result.result() for result in running]
+    return results + [run_feature(feature) for feature in isolated]
 
 
 def read_known_faults() -> frozenset[str]:
