Count what an instance has not read on connections to upstreams, too

Cause: the stand-in for crowds counted unread bytes at the ports of the listeners only. Responses that callers read slowly stay unread on connections to upstreams. Change: the unread bytes of all sockets of the process count. No crowd and no bound changed.

--- a/standins/client_crowd.py
+++ b/standins/client_crowd.py
@@ -162,11 +162,12 @@
     """Observes the memory and descriptors of a process until it is closed."""
 
     pid: int
-    #: Ports on which the process receives; unread bytes there count as its memory.
+    #: Ports on which it listens, for connections that it has not accepted.
     ports: Sequence[int]
-    #: Most resident memory and unread bytes together, and most descriptors.
+    #: Most resident memory and bytes that it has received and not read, together.
     peak_bytes: int = 0
     most_unread_bytes: int = 0
+    #: Most open descriptors.
     most_descriptors: int = 0
     is_alive: bool = True
     _stopped: threading.Event = field(default_factory=threading.Event)
@@ -180,9 +181,9 @@
         process = Path(f"/proc/{self.pid}")
         try:
             # Read first, so that bytes which are read meanwhile count at least once.
-            unread_bytes = self._count_unread_bytes()
+            files = self._list_open_files()
+            unread_bytes = self._count_unread_bytes(files)
             status = (process / "status").read_text()
-            descriptors = len(os.listdir(process / "fd"))
         except OSError:
             self.is_alive = False
             return
@@ -197,7 +198,7 @@
         self.peak_bytes = max(
             self.peak_bytes, resident_bytes + unread_bytes, highest_bytes
         )
-        self.most_descriptors = max(self.most_descriptors, descriptors)
+        self.most_descriptors = max(self.most_descriptors, len(files))
 
     def close(self) -> None:
         """Ends the observation with one more sample."""
@@ -209,14 +210,26 @@
         while self.is_alive and not self._stopped.wait(OBSERVE_SECONDS):
             self.observe()
 
-    def _count_unread_bytes(self) -> int:
-        wanted = {f"{port:04X}" for port in self.ports}
+    def _list_open_files(self) -> list[str]:
+        directory = Path(f"/proc/{self.pid}/fd")
+        files = []
+        for name in os.listdir(directory):
+            # A file may be closed meanwhile.
+            with contextlib.suppress(FileNotFoundError):
+                files.append(os.readlink(directory / name))
+        return files
+
+    def _count_unread_bytes(self, files: Sequence[str]) -> int:
+        prefix = "socket:["
+        inodes = {f[len(prefix) : -1] for f in files if f.startswith(prefix)}
+        ports = {f"{port:04X}" for port in self.ports}
         unread_bytes = 0
         lines = Path(f"/proc/{self.pid}/net/tcp").read_text().splitlines()
         for line in lines[1:]:
             fields = line.split()
             is_listening = fields[3] == "0A"
-            if not is_listening and fields[1].rsplit(":", 1)[1] in wanted:
+            is_own = fields[9] in inodes or fields[1].rsplit(":", 1)[1] in ports
+            if is_own and not is_listening:
                 unread_bytes += int(fields[4].split(":")[1], 16)
         return unread_bytes
 
