Read from a new connection only when it is asked to receive

What callers saw: an instance of 80 MB grew to 91 to 112 MB when 200 clients sent bodies of 1 MiB, or when it forwarded bodies of 900 KiB, and was killed where that is its limit. Cause: anyio 4.16 leaves an accepted stream reading and pauses it only after a receive that had to wait. Where data was there first, asyncio read all that followed into a queue that nothing bounds or counts, while the request waited for its memory. Evidence: at the peak, tracemalloc found 33 MB in 7,914 reads of sockets.

--- a/egrethall/http1/_listeners.py
+++ b/egrethall/http1/_listeners.py
@@ -10,6 +10,8 @@
 from anyio.abc import SocketStream
 from anyio.streams.stapled import MultiListener
 
+from egrethall.http1._sockets import pause_reading
+
 #: Pause after an error of ``accept``, such as EMFILE, which lasts until a descriptor is
 #: closed.
 ACCEPT_PAUSE_SECONDS = 0.05
@@ -61,4 +63,5 @@
                 observe_error()
                 await anyio.sleep(ACCEPT_PAUSE_SECONDS)
                 continue
+            pause_reading(stream)
             tasks.start_soon(handle, stream)
