Hold little of a connection before its request has memory

What callers saw: 900 clients with bodies of 60 KiB took an instance of 80 MB to 106 to 109 MB, 300 clients that send on while their request is served to 122 MB, slow readers of 4 MiB to 116 MB; a process that reaches the memory of its machine is killed. Cause: up to 64 KiB were read on a connection before memory for its request was granted, the kernel held 128 KiB and more for each socket, up to 128 KiB of later requests were buffered, and a refused connection buffered what came during its linger. Change: reads of 4 KiB until a body needs more, receive buffers of 8 KiB for clients and of 32 KiB for long messages, at most 8 KiB of later requests, and what comes after a refusal is dropped. A connection counts 32 KiB for that.

--- a/egrethall/entry/_caller_connection.py
+++ b/egrethall/entry/_caller_connection.py
@@ -48,8 +48,8 @@
 
 REQUEST_TIMEOUT_STATUS = 408
 
-#: Memory of a request besides its body: one read from the socket, its parts in the
-#: parser, and a response of up to 64 KiB.
+#: Memory of a request besides its body: one read from the socket, what the kernel holds
+#: of its body or response, its parts in the parser, and a response of up to 64 KiB.
 REQUEST_BYTES = 128 * 1024
 
 #: Memory for a body of unknown length is reserved in these steps.
@@ -271,7 +271,7 @@
             await self._connection.send_response(
                 response.status, headers, response.body
             )
-            await self._connection.wait_for_disconnect()
+            await self._connection.discard_until_disconnect()
 
     async def _reject(self, status: int, detail: str) -> None:
         logger.info("request rejected", status=status, detail=detail)
@@ -283,7 +283,7 @@
         )
         await self._connection.send_response(status, headers, body)
         with anyio.move_on_after(LINGER_SECONDS):
-            await self._connection.wait_for_disconnect()
+            await self._connection.discard_until_disconnect()
 
 
 def _add_framing_headers(response: Response, closing: bool) -> Headers:
--- a/egrethall/entry/_connection_limiter.py
+++ b/egrethall/entry/_connection_limiter.py
@@ -12,8 +12,9 @@
 from egrethall.entry._process_limits import ProgressLimits
 from egrethall.types import Clock
 
-#: Memory of an open connection: socket, task and parser. An idle one took 12 kB.
-CONNECTION_BYTES = 16 * 1024
+#: Memory of an open connection: socket, task and parser take 12 kB, what the kernel
+#: holds of its unread bytes 12 KiB, and one read or the beginning of a later request 8.
+CONNECTION_BYTES = 32 * 1024
 
 #: A connection that has moved fewer bytes than this within the time of its phase has
 #: made no progress. It matters only when room is short.
--- a/egrethall/entry/_daemon.py
+++ b/egrethall/entry/_daemon.py
@@ -40,7 +40,7 @@
 from egrethall.entry._zone_exchange import ZoneCountingExchange
 from egrethall.fleet import ROUND_SECONDS, FleetMembers, PeerServer
 from egrethall.forwarding import RetryBudget
-from egrethall.http1 import serve_listener
+from egrethall.http1 import open_client_listener, serve_listener
 from egrethall.placement import (
     CandidateChoice,
     ColdStartShares,
@@ -355,9 +355,7 @@
 
     async def _serve_callers(self, application: EntryApplication) -> None:
         host, port = split_address(self._settings.caller_address)
-        listener = await anyio.create_tcp_listener(
-            local_host=host, local_port=port, backlog=LISTEN_BACKLOG
-        )
+        listener = await open_client_listener(host, port, LISTEN_BACKLOG)
 
         async def serve(stream: SocketStream) -> None:
             with anyio.CancelScope() as scope:
--- a/egrethall/entry/_event_loop.py
+++ b/egrethall/entry/_event_loop.py
@@ -4,17 +4,14 @@
 import selectors
 import socket
 
+from egrethall.http1 import IDLE_READ_BYTES
+
 #: Consecutive loop iterations that may skip polling the sockets while callbacks are
 #: ready. A typical chain of callbacks takes a dozen iterations, so a ready socket waits
 #: for less than one chain.
 MAX_SKIPPED_POLLS = 8
 
 
-#: Most bytes that are read from a socket at once. asyncio reads 256 KiB, which a client
-#: could make an instance hold on every connection.
-MAX_READ_BYTES = 64 * 1024
-
-
 class ReducedPollingSelector(selectors.DefaultSelector):
     """Skips most polls while the event loop has callbacks to run.
 
@@ -40,7 +37,11 @@
 
 
 class SmallReadsEventLoop(asyncio.SelectorEventLoop):
-    """Reads at most :data:`MAX_READ_BYTES` from a socket at once."""
+    """Reads little from a new connection at once.
+
+    asyncio reads 256 KiB, which a client could make an instance hold on every
+    connection. The owner of a connection allows longer reads when it needs them.
+    """
 
     def _make_socket_transport(
         self, sock: socket.socket, *args: object, **kwargs: object
@@ -48,7 +49,7 @@
         transport: asyncio.Transport = super()._make_socket_transport(  # type: ignore[misc]
             sock, *args, **kwargs
         )
-        transport.max_size = MAX_READ_BYTES  # type: ignore[attr-defined]
+        transport.max_size = IDLE_READ_BYTES  # type: ignore[attr-defined]
         return transport
 
 
--- a/egrethall/http1/__init__.py
+++ b/egrethall/http1/__init__.py
@@ -7,11 +7,18 @@
     ConnectionLostError,
     HttpConnectionError,
 )
-from egrethall.http1._listeners import serve_listener
+from egrethall.http1._listeners import open_client_listener, serve_listener
 from egrethall.http1._server import RequestHead, RequestRejectedError, ServerConnection
-from egrethall.http1._sockets import open_stream
+from egrethall.http1._sockets import (
+    IDLE_READ_BYTES,
+    IDLE_RECEIVE_BUFFER_BYTES,
+    expect_long_message,
+    open_stream,
+)
 
 __all__ = [
+    "IDLE_READ_BYTES",
+    "IDLE_RECEIVE_BUFFER_BYTES",
     "BodyBuffer",
     "ClientConnection",
     "ConnectError",
@@ -21,6 +28,8 @@
     "RequestRejectedError",
     "ResponseHead",
     "ServerConnection",
+    "expect_long_message",
+    "open_client_listener",
     "open_stream",
     "serve_listener",
 ]
--- a/egrethall/http1/_body_buffer.py
+++ b/egrethall/http1/_body_buffer.py
@@ -52,6 +52,8 @@
                 self._view = None
             if self._pages is not None:
                 self._pages.close()
+        # The frames of a cancelled task may live until the next garbage collection.
+        self._heap = bytearray()
 
     def _find_pages(self, size_bytes: int) -> mmap.mmap:
         """Returns pages for at least ``size_bytes``; those not written take none."""
--- a/egrethall/http1/_client.py
+++ b/egrethall/http1/_client.py
@@ -9,12 +9,13 @@
 from anyio.abc import SocketStream
 
 from egrethall.http1._errors import ConnectionLostError
-from egrethall.http1._sockets import open_stream
+from egrethall.http1._sockets import (
+    MAX_READ_BYTES,
+    expect_long_message,
+    open_stream,
+)
 from egrethall.types import FINAL_STATUSES, Headers
 
-#: Most bytes that a single read from a socket returns.
-MAX_READ_BYTES = 64 * 1024
-
 #: Largest part of a request that is given to the socket at once. The event loop copies
 #: what the socket does not take.
 MAX_WRITE_BYTES = 64 * 1024
@@ -56,7 +57,9 @@
     @classmethod
     async def open(cls, address: str, timeout_seconds: float) -> ClientConnection:
         """Opens a connection to ``address``; raises :class:`ConnectError`."""
-        return cls(await open_stream(address, timeout_seconds), address)
+        stream = await open_stream(address, timeout_seconds)
+        expect_long_message(stream)
+        return cls(stream, address)
 
     @property
     def reusable(self) -> bool:
--- a/egrethall/http1/_listeners.py
+++ b/egrethall/http1/_listeners.py
@@ -2,15 +2,16 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
 import anyio
 import structlog
-from anyio.abc import SocketStream
+from anyio.abc import SocketAttribute, SocketStream
 from anyio.streams.stapled import MultiListener
 
-from egrethall.http1._sockets import pause_reading
+from egrethall.http1._sockets import IDLE_RECEIVE_BUFFER_BYTES, pause_reading
 
 #: Pause after an error of ``accept``, such as EMFILE, which lasts until a descriptor is
 #: closed.
@@ -22,6 +23,21 @@
 logger = structlog.get_logger(__name__)
 
 
+async def open_client_listener(
+    host: str, port: int, backlog: int
+) -> MultiListener[SocketStream]:
+    """Returns a listener whose connections hold few unread bytes in the kernel."""
+    listener = await anyio.create_tcp_listener(
+        local_host=host, local_port=port, backlog=backlog
+    )
+    for part in listener.listeners:
+        raw_socket = part.extra(SocketAttribute.raw_socket)
+        raw_socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, IDLE_RECEIVE_BUFFER_BYTES
+        )
+    return listener
+
+
 async def _accept_always() -> None:
     return
 
--- a/egrethall/http1/_server.py
+++ b/egrethall/http1/_server.py
@@ -12,8 +12,13 @@
 from anyio.abc import SocketAttribute, SocketStream
 
 from egrethall.http1._body_buffer import BodyBuffer
-from egrethall.http1._client import MAX_READ_BYTES
 from egrethall.http1._errors import ConnectionLostError
+from egrethall.http1._sockets import (
+    IDLE_READ_BYTES,
+    MAX_READ_BYTES,
+    expect_long_message,
+    set_read_size,
+)
 from egrethall.types import Clock, EgrethallError, Headers
 
 #: Interval at which a connection with many unread bytes is checked for a disconnect. A
@@ -35,6 +40,9 @@
 #: Allowance for the request line on top of the limit for the headers.
 REQUEST_LINE_ALLOWANCE_BYTES = 8 * 1024
 
+#: Bytes of later requests after which no more are read while one is served.
+MAX_PIPELINED_BYTES = 8 * 1024
+
 
 class RequestRejectedError(EgrethallError):
     """A request must be rejected with an error status and not be forwarded."""
@@ -89,6 +97,8 @@
         #: of bytes received until its end, and the monotonic clock reading.
         self._arrivals: deque[tuple[int, float]] = deque()
         self._received_bytes = 0
+        #: Whether the body that is received allows long reads.
+        self._reads_long = False
         #: Monotonic clock reading at which the last byte of the latest head arrived,
         #: which may have been while an earlier request was served.
         self.head_received_at_seconds = 0.0
@@ -111,7 +121,7 @@
         if self.request_started:
             return True
         try:
-            data = await self._stream.receive(MAX_READ_BYTES)
+            data = await self._stream.receive(IDLE_READ_BYTES)
         except anyio.EndOfStream:
             return False
         except (anyio.BrokenResourceError, anyio.ClosedResourceError):
@@ -170,10 +180,21 @@
                     status_code=100, headers=[], reason="Continue"
                 )
             )
+        try:
+            await self._receive_parts_into(buffer, max_bytes, reserve)
+        finally:
+            if self._reads_long:
+                self._reads_long = False
+                set_read_size(self._stream, IDLE_READ_BYTES)
+
+    async def _receive_parts_into(
+        self, buffer: BodyBuffer, max_bytes: int, reserve: BodyReservation
+    ) -> None:
+        length = self._body_length
         events = 0
         received_bytes = self._received_bytes
         while True:
-            event = await self._receive_event()
+            event = await self._receive_event(allows_long_reads=True)
             if isinstance(event, h11.EndOfMessage):
                 return
             if not isinstance(event, h11.Data):
@@ -203,12 +224,12 @@
     async def wait_for_disconnect(self) -> None:
         """Returns when the client has disconnected; buffers what it sends until then.
 
-        After more than ``MAX_READ_BYTES`` of pipelined requests this stops reading,
+        After more than ``MAX_PIPELINED_BYTES`` of later requests this stops reading,
         which limits the buffer, and asks the kernel for the state of the connection.
         """
         while True:
             try:
-                data = await self._stream.receive(MAX_READ_BYTES)
+                data = await self._stream.receive(IDLE_READ_BYTES)
             except (
                 anyio.EndOfStream,
                 anyio.BrokenResourceError,
@@ -216,10 +237,22 @@
             ):
                 return
             self._buffer(data)
-            if len(self._parser.trailing_data[0]) > MAX_READ_BYTES:
+            if len(self._parser.trailing_data[0]) > MAX_PIPELINED_BYTES:
                 await self._poll_until_disconnect()
                 return
 
+    async def discard_until_disconnect(self) -> None:
+        """Reads and drops what the client sends until it disconnects."""
+        while True:
+            try:
+                await self._stream.receive(IDLE_READ_BYTES)
+            except (
+                anyio.EndOfStream,
+                anyio.BrokenResourceError,
+                anyio.ClosedResourceError,
+            ):
+                return
+
     async def _poll_until_disconnect(self) -> None:
         """Waits until the client has closed its end, without reading what it sent."""
         poller = select.poll()
@@ -305,7 +338,7 @@
         except (anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
             raise ConnectionLostError("the client disconnected") from error
 
-    async def _receive_event(self) -> object:
+    async def _receive_event(self, *, allows_long_reads: bool = False) -> object:
         while True:
             try:
                 event = self._parser.next_event()
@@ -319,6 +352,9 @@
                 )
             if event is not h11.NEED_DATA:
                 return event
+            if allows_long_reads and not self._reads_long:
+                self._reads_long = True
+                expect_long_message(self._stream)
             try:
                 data = await self._stream.receive(MAX_READ_BYTES)
             except anyio.EndOfStream:
