Account for forwarded responses, and pass them on in small parts

What callers saw: an instance of 80 MB without a path to upstreams grew to 163 to 265 MB when 100 callers, one every 30 ms, read responses of 4 MiB slowly. Cause: the first MiB of a forwarded response came as one message, which the instance that forwards held for its caller without a reservation. Its peer copied it twice, and once more into the buffer of the transport. Bodies were sent in parts of 256 KiB. Change: parts of 64 KiB both ways, within the messages that earlier releases read. The instance that forwards holds up to 1 MiB in a lease, as it does with responses of upstreams, and passes the rest on; the rest ends at the deadline, which it did not before.

--- a/egrethall/entry/_daemon.py
+++ b/egrethall/entry/_daemon.py
@@ -139,6 +139,7 @@
             settings.availability_zone,
             self,
             self._crash_guard,
+            self._account,
             self._clock,
             self._random,
         )
--- a/egrethall/entry/_forwarded_requests.py
+++ b/egrethall/entry/_forwarded_requests.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
 from typing import Any
 
 import anyio
@@ -17,6 +16,7 @@
 from egrethall.entry._serving_state import ServingPhase, ServingState
 from egrethall.fleet import (
     MAX_PART_BYTES,
+    SENT_PART_BYTES,
     Acceptance,
     ForwardedHead,
     ForwardedResponse,
@@ -27,7 +27,7 @@
     receive_frame,
     send_frame,
 )
-from egrethall.http1 import BodyBuffer, ConnectionLostError
+from egrethall.http1 import BodyBuffer, ConnectionLostError, expect_long_message
 from egrethall.placement import UpstreamPath
 from egrethall.types import (
     CallerHead,
@@ -86,6 +86,8 @@
         lease, body = self._account.open_lease(), BodyBuffer()
         try:
             with anyio.fail_after(ARRIVAL_TIMEOUT_SECONDS):
+                if head.has_body:
+                    expect_long_message(stream)
                 await _receive_body(stream, lease, body)
                 service = self._published.find_service(head.service)
                 refusal = self._find_reason_to_decline(head, service)
@@ -238,24 +240,24 @@
 async def _send_response(
     stream: SocketStream, response: Response, upstream: str
 ) -> None:
-    continues = response.remaining_body is not None
-    head = ForwardedResponse(
-        response.status,
-        response.headers,
-        bytes(response.body),
-        response.content_length,
-        continues,
-        upstream,
-    )
-    await send_frame(stream, encode_response(head))
-    if response.remaining_body is None:
-        return
-    async for piece in _split(response.remaining_body):
-        await send_frame(stream, piece)
+    """Sends a response in parts, each of which the sender has taken before the next."""
+    with memoryview(response.body) as body:
+        continues = response.remaining_body is not None or len(body) > SENT_PART_BYTES
+        head = ForwardedResponse(
+            response.status,
+            response.headers,
+            bytes(body[:SENT_PART_BYTES]),
+            response.content_length,
+            continues,
+            upstream,
+        )
+        await send_frame(stream, encode_response(head))
+        if not continues:
+            return
+        for start in range(SENT_PART_BYTES, len(body), SENT_PART_BYTES):
+            await send_frame(stream, bytes(body[start : start + SENT_PART_BYTES]))
+    if response.remaining_body is not None:
+        async for piece in response.remaining_body:
+            for start in range(0, len(piece), SENT_PART_BYTES):
+                await send_frame(stream, piece[start : start + SENT_PART_BYTES])
     await send_frame(stream, b"")
-
-
-async def _split(pieces: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
-    async for piece in pieces:
-        for start in range(0, len(piece), MAX_PART_BYTES):
-            yield piece[start : start + MAX_PART_BYTES]
--- a/egrethall/entry/_peer_forwarder.py
+++ b/egrethall/entry/_peer_forwarder.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -10,9 +10,11 @@
 import structlog
 from anyio.abc import SocketStream
 
+from egrethall.entry._held_body import HeldBody, iterate_until_deadline
+from egrethall.entry._memory_account import MemoryAccount
 from egrethall.entry._request import AdmittedRequest, Response, SendOutcome, SendResult
 from egrethall.fleet import (
-    MAX_PART_BYTES,
+    SENT_PART_BYTES,
     ForwardedHead,
     ForwardedResponse,
     decode_acceptance,
@@ -22,7 +24,12 @@
     receive_frame,
     send_frame,
 )
-from egrethall.http1 import ConnectError, ConnectionLostError, open_stream
+from egrethall.http1 import (
+    ConnectError,
+    ConnectionLostError,
+    expect_long_message,
+    open_stream,
+)
 from egrethall.placement import CrashGuard
 from egrethall.types import (
     Clock,
@@ -56,6 +63,7 @@
     anyio.EndOfStream,
     anyio.BrokenResourceError,
     anyio.ClosedResourceError,
+    ConnectionLostError,
     ValueError,
 )
 
@@ -93,9 +101,11 @@
         own_zone: str,
         directory: ForwardingDirectory,
         crashes: CrashGuard,
+        account: MemoryAccount,
         clock: Clock,
         random_source: RandomSource,
     ) -> None:
+        self._account = account
         self._own_name = own_name
         self._own_zone = own_zone
         self._directory = directory
@@ -162,7 +172,10 @@
         try:
             with anyio.fail_after(time_left_seconds):
                 await send_frame(stream, encode_time_left(time_left_seconds))
-                response = decode_response(await receive_frame(stream))
+                message = decode_response(await receive_frame(stream))
+                if isinstance(message, Refusal):
+                    raise _make_error(message)
+                response = await self._receive_response(peer, stream, message, request)
         except _STREAM_ERRORS as error:
             await anyio.aclose_forcefully(stream)
             return SendOutcome(SendResult.BROKEN, f"broken: {error!r}", peer.name)
@@ -172,15 +185,58 @@
         except BaseException:
             await anyio.aclose_forcefully(stream)
             raise
-        if isinstance(response, Refusal):
-            await anyio.aclose_forcefully(stream)
-            raise _make_error(response)
-        record.upstream = response.upstream
+        record.upstream = message.upstream
         return SendOutcome(
-            SendResult.ANSWERED,
-            f"status {response.status}",
-            peer.name,
-            await _make_response(stream, response),
+            SendResult.ANSWERED, f"status {response.status}", peer.name, response
+        )
+
+    async def _receive_response(
+        self,
+        peer: ForwardingPeer,
+        stream: SocketStream,
+        message: ForwardedResponse,
+        request: AdmittedRequest,
+    ) -> Response:
+        if not message.continues:
+            await anyio.aclose_forcefully(stream)
+            return Response(
+                message.status,
+                message.headers,
+                message.body,
+                content_length=len(message.body),
+            )
+        expect_long_message(stream)
+        held = HeldBody(self._account, message.body)
+
+        async def receive_part() -> bytes:
+            try:
+                return await receive_frame(stream)
+            except _STREAM_ERRORS as error:
+                raise ConnectionLostError("the forwarded response broke off") from error
+
+        async def close() -> None:
+            await held.close()
+            await anyio.aclose_forcefully(stream)
+
+        if await held.receive(receive_part):
+            await anyio.aclose_forcefully(stream)
+            body = held.get_body()
+            return Response(
+                message.status,
+                message.headers,
+                body,
+                content_length=len(body),
+                close=held.close,
+            )
+        return Response(
+            message.status,
+            message.headers,
+            held.get_body(),
+            remaining_body=iterate_until_deadline(
+                receive_part, request.deadline_at_seconds, self._clock, peer.address
+            ),
+            content_length=message.content_length,
+            close=close,
         )
 
     async def _offer(
@@ -196,8 +252,8 @@
             with anyio.fail_after(min(ACCEPT_TIMEOUT_SECONDS, time_left_seconds)):
                 stream = await open_stream(peer.address, ACCEPT_TIMEOUT_SECONDS)
                 await send_frame(stream, encode_head(self._make_head(request)))
-                for start in range(0, len(request.body), MAX_PART_BYTES):
-                    part = bytes(request.body[start : start + MAX_PART_BYTES])
+                for start in range(0, len(request.body), SENT_PART_BYTES):
+                    part = bytes(request.body[start : start + SENT_PART_BYTES])
                     await send_frame(stream, part)
                 await send_frame(stream, b"")
                 acceptance = decode_acceptance(await receive_frame(stream))
@@ -246,37 +302,6 @@
     return RefusedError(refusal)
 
 
-async def _make_response(stream: SocketStream, response: ForwardedResponse) -> Response:
-    if not response.continues:
-        await anyio.aclose_forcefully(stream)
-        return Response(
-            response.status,
-            response.headers,
-            response.body,
-            content_length=len(response.body),
-        )
-
-    async def close() -> None:
-        await anyio.aclose_forcefully(stream)
-
-    return Response(
-        response.status,
-        response.headers,
-        response.body,
-        remaining_body=_iterate_body(stream),
-        content_length=response.content_length,
-        close=close,
-    )
-
-
-async def _iterate_body(stream: SocketStream) -> AsyncIterator[bytes]:
-    try:
-        while part := await receive_frame(stream):
-            yield part
-    except _STREAM_ERRORS as error:
-        raise ConnectionLostError("the forwarded response broke off") from error
-
-
 async def _close(stream: SocketStream | None) -> None:
     if stream is not None:
         await anyio.aclose_forcefully(stream)
--- a/egrethall/entry/_upstream_exchange.py
+++ b/egrethall/entry/_upstream_exchange.py
@@ -1,16 +1,14 @@
 """Sends a request to one upstream and validates its response."""
 
-from collections.abc import AsyncIterator
-
 import anyio
 import structlog
 
 from egrethall.entry._connection_pool import ConnectionPool
-from egrethall.entry._memory_account import MemoryAccount, MemoryLease
+from egrethall.entry._held_body import HeldBody, iterate_until_deadline
+from egrethall.entry._memory_account import MemoryAccount
 from egrethall.entry._prober import ProbeResult
 from egrethall.entry._request import AdmittedRequest, Response, SendOutcome, SendResult
 from egrethall.http1 import (
-    BodyBuffer,
     ClientConnection,
     ConnectError,
     ConnectionLostError,
@@ -19,14 +17,6 @@
 from egrethall.placement import UpstreamPath, UpstreamState
 from egrethall.types import Clock, ExchangeFormat, Headers, UpstreamHead
 
-#: Responses up to this length are received completely before the caller gets any part
-#: of them, so that the request can be retried if the connection is lost.
-MAX_BUFFERED_BYTES = 1024 * 1024
-
-#: Part of a response that the memory of its request covers; see
-#: :data:`egrethall.entry._caller_connection.REQUEST_BYTES`.
-UNRESERVED_BYTES = 64 * 1024
-
 #: Timeout of a new connection to an upstream that has just responded to a probe.
 CONNECT_TIMEOUT_SECONDS = 0.25
 
@@ -183,18 +173,16 @@
         # Upstreams sign the body without content encoding.
         if is_success and head.encoded:
             raise UntrustedResponseError("successful response with an encoded body")
-        held = _HeldBody(self._account.open_lease())
-        complete = await held.receive(connection)
-        if not complete and held.buffer.size_bytes < MAX_BUFFERED_BYTES:
-            self._account.declined_count += 1
-        body = held.buffer.get_body()
+        held = HeldBody(self._account)
+        complete = await held.receive(connection.receive_body_chunk)
+        body = held.get_body()
         if complete:
             response = Response(
                 head.status,
                 head.headers,
                 body,
                 content_length=len(body),
-                close=held.close if held.lease.held_bytes else None,
+                close=held.close if held.holds_lease else None,
             )
         else:
 
@@ -206,8 +194,11 @@
                 head.status,
                 head.headers,
                 body,
-                remaining_body=self._iterate_remaining_body(
-                    connection, deadline_at_seconds
+                remaining_body=iterate_until_deadline(
+                    connection.receive_body_chunk,
+                    deadline_at_seconds,
+                    self._clock,
+                    connection.address,
                 ),
                 content_length=_parse_content_length(received.headers),
                 close=close,
@@ -220,59 +211,6 @@
             SendResult.ANSWERED, f"status {head.status}", upstream, response
         )
 
-    async def _iterate_remaining_body(
-        self, connection: ClientConnection, deadline_at_seconds: float
-    ) -> AsyncIterator[bytes]:
-        """Yields the rest of a body; raises :class:`ConnectionLostError` if it is late.
-
-        A faulty upstream may send bytes without end, which a caller that no longer
-        waits for its response may go on reading.
-        """
-        while True:
-            remaining_seconds = deadline_at_seconds - self._clock.monotonic_seconds()
-            try:
-                # The deadline may have passed while the caller took the last piece.
-                with anyio.fail_after(max(0.0, remaining_seconds)):
-                    piece = await connection.receive_body_chunk()
-            except TimeoutError as error:
-                logger.info("response cut at its deadline", address=connection.address)
-                raise ConnectionLostError(
-                    f"{connection.address}: the body did not end before the deadline"
-                ) from error
-            if not piece:
-                return
-            yield piece
-
-
-class _HeldBody:
-    """The beginning of a response's body, with the memory reserved for it."""
-
-    def __init__(self, lease: MemoryLease) -> None:
-        self.buffer = BodyBuffer()
-        self.lease = lease
-
-    async def receive(self, connection: ClientConnection) -> bool:
-        """Reads until the body ends, its limit is reached or memory is short.
-
-        Returns whether the body is complete. Memory that is not granted does not end
-        the request, which the upstream runs: the rest is passed on piece by piece.
-        """
-        while self.buffer.size_bytes < MAX_BUFFERED_BYTES:
-            if self.buffer.size_bytes >= UNRESERVED_BYTES and not self.lease.try_grow(
-                self.buffer.size_bytes + UNRESERVED_BYTES
-            ):
-                return False
-            piece = await connection.receive_body_chunk()
-            if not piece:
-                return True
-            self.buffer.append(piece)
-        return False
-
-    async def close(self) -> None:
-        """Frees the memory."""
-        self.buffer.close()
-        self.lease.release()
-
 
 async def _skip_response(connection: ClientConnection) -> None:
     try:
--- a/egrethall/fleet/__init__.py
+++ b/egrethall/fleet/__init__.py
@@ -2,6 +2,7 @@
 
 from egrethall.fleet._forwarding_messages import (
     MAX_PART_BYTES,
+    SENT_PART_BYTES,
     Acceptance,
     ForwardedHead,
     ForwardedResponse,
@@ -63,6 +64,7 @@
     "Heartbeat",
     "JOINING_INTERVAL_SECONDS",
     "MAX_PART_BYTES",
+    "SENT_PART_BYTES",
     "MAX_SINGLE_ROUND_RECIPIENTS",
     "MEMBERS_PER_HEARTBEAT",
     "MEMBERS_PER_JOIN_ANSWER",
--- a/egrethall/fleet/_forwarding_messages.py
+++ b/egrethall/fleet/_forwarding_messages.py
@@ -19,9 +19,13 @@
 
 from egrethall.types import FINAL_STATUSES, Headers, Refusal, RefusalReason, RequestKind
 
-#: Largest part of a body that is sent as one message.
+#: Largest part of a body that is accepted as one message.
 MAX_PART_BYTES = 256 * 1024
 
+#: Part of a body that is sent as one message. The event loop copies what the socket
+#: does not take.
+SENT_PART_BYTES = 64 * 1024
+
 _REASONS = {reason.code: reason for reason in RefusalReason}
 
 
--- a/egrethall/fleet/_record_exchange.py
+++ b/egrethall/fleet/_record_exchange.py
@@ -11,7 +11,7 @@
     receive_length,
     send_frame,
 )
-from egrethall.http1 import ConnectError, open_stream
+from egrethall.http1 import ConnectError, expect_long_message, open_stream
 from egrethall.types import Record, RecordBatch, RecordSourceError
 
 #: Timeout for the whole exchange. Waiting longer is pointless, since another instance
@@ -61,6 +61,7 @@
     try:
         with anyio.fail_after(begin_timeout_seconds) as limit:
             async with await open_stream(address, begin_timeout_seconds) as stream:
+                expect_long_message(stream)
                 await send_frame(stream, msgpack.packb(after_revision))
                 length = await receive_length(stream)
                 limit.deadline += EXCHANGE_TIMEOUT_SECONDS - begin_timeout_seconds
