Limit the connections and the memory of every listener

What others saw: with 900 silent connections at the readiness page, the metrics or the peer address an instance with 600 descriptors had 914 open, so that none were left for callers and upstreams. 20 streams with a message of 8 MiB took an instance of 80 MB to 205 MB. Cause: only the callers' listener had limits. The first message of a peer's stream was read whatever its length, without a reservation. Change: a limiter for each listener; serve_listener asks it for room and closes the connection that is idle for longest. The first message of a stream is at most 1 MiB and is read once memory is granted, a part of a forwarded body at most 256 KiB. Log line and metrics tell the listeners apart: egrethall_limited_clients_total and egrethall_client_connections have the label listener. Tests changed: three construct the new parts (limits of a listener, ClientLimits); their checks are the same.

--- a/egrethall/entry/_connection_limiter.py
+++ b/egrethall/entry/_connection_limiter.py
@@ -6,7 +6,6 @@
 from collections import Counter
 
 import anyio
-import structlog
 
 from egrethall.entry._memory_account import MemoryAccount
 from egrethall.entry._process_limits import ProgressLimits
@@ -24,9 +23,6 @@
 RETRY_SECONDS = 0.1
 
 
-logger = structlog.get_logger(__name__)
-
-
 class ConnectionPhase(enum.Enum):
     """What a connection of a client waits for."""
 
@@ -60,6 +56,18 @@
         self.progress_at_seconds = clock.monotonic_seconds()
         self.is_closing = False
 
+    async def reserve(self, size_bytes: int) -> None:
+        """Waits for ``size_bytes`` in total besides those of the connection.
+
+        Raises :class:`MemoryShortError` if they are not granted in time.
+        """
+        await self.lease.grow(CONNECTION_BYTES + size_bytes)
+
+    def begin_serving(self) -> None:
+        """Keeps the connection from being closed for others, and returns its memory."""
+        self.lease.release(CONNECTION_BYTES)
+        self.enter(ConnectionPhase.SERVING)
+
     def observe_stalled_write(self) -> None:
         """Records that the client did not read its response in time."""
         self._limiter.stalled_writes += 1
@@ -114,8 +122,6 @@
         self.accept_errors = 0
         #: Responses that were cut since their caller did not read.
         self.stalled_writes = 0
-        self._logged_events = self.count_events()
-        account.make_room = self.make_room
 
     @property
     def open_count(self) -> int:
@@ -170,35 +176,13 @@
         self.close_one()
 
     def count_events(self) -> dict[str, int]:
-        """Returns how often room was short, by kind of refusal or closing."""
+        """Returns how often room was short, by kind of event."""
         return {
-            "memory-refused": self.account.refused_count,
-            "response-not-buffered": self.account.declined_count,
             "accept-error": self.accept_errors,
             "stalled-write": self.stalled_writes,
             **{f"closed-{phase}": count for phase, count in self.closed.items()},
         }
 
-    def log_events(self) -> None:
-        """Logs what has happened since the last call; called once per second."""
-        events = self.count_events()
-        if events == self._logged_events:
-            return
-        before = self._logged_events
-        self._logged_events = events
-        logger.warning(
-            "clients limited",
-            events=",".join(
-                f"{kind}={count - before.get(kind, 0)}"
-                for kind, count in events.items()
-                if count != before.get(kind, 0)
-            ),
-            connections=self.open_count,
-            max_connections=self.max_connections,
-            held_bytes=self.account.held_bytes,
-            budget_bytes=self.account.budget_bytes,
-        )
-
     def make_room(self, size_bytes: int) -> None:
         """Closes connections that hold ``size_bytes`` together, as far as there are."""
         missing_bytes = size_bytes - sum(s.lease.held_bytes for s in self._closing)
--- a/egrethall/entry/_daemon.py
+++ b/egrethall/entry/_daemon.py
@@ -15,14 +15,14 @@
 from egrethall.configuration import split_address
 from egrethall.entry._application import EntryApplication
 from egrethall.entry._caller_connection import DEFAULT_LIMITS, CallerConnection
-from egrethall.entry._connection_limiter import ConnectionLimiter
+from egrethall.entry._client_limits import ClientLimits
+from egrethall.entry._connection_limiter import ClientSlot
 from egrethall.entry._connection_pool import ConnectionPool
 from egrethall.entry._crash_observer import CrashObserver
 from egrethall.entry._event_loop import make_event_loop
 from egrethall.entry._forwarded_requests import ForwardedRequests
 from egrethall.entry._hedger import Hedger
 from egrethall.entry._logs import configure_entry_logs
-from egrethall.entry._memory_account import MemoryAccount
 from egrethall.entry._metrics import RequestMetrics
 from egrethall.entry._observer import RequestObserver
 from egrethall.entry._page_server import serve_pages
@@ -111,13 +111,8 @@
             self._upstream_table.count_upstreams, self._clock
         )
         self._crash_guard = CrashGuard(self._clock, self._makes_trials)
-        self._account = MemoryAccount(settings.limits.find_client_memory_bytes())
-        self._limiter = ConnectionLimiter(
-            settings.limits.find_max_client_connections(),
-            self._account,
-            self._clock,
-            settings.limits.progress,
-        )
+        self._limits = ClientLimits(settings.limits, self._clock)
+        self._account = self._limits.account
         self._zone_overflow: ZoneOverflow | None = None
         if settings.zone_overflow.enabled:
             self._zone_overflow = ZoneOverflow(
@@ -130,7 +125,7 @@
             self._source_status,
             self._upstream_path,
             self._crash_guard,
-            self._limiter,
+            self._limits,
             self._zone_overflow,
         )
         self._observer = RequestObserver(self._clock, self._metrics)
@@ -201,7 +196,7 @@
         logger.info(
             "limits of clients",
             memory_bytes=self._account.budget_bytes,
-            connections=self._limiter.max_connections,
+            connections=self._limits.callers.max_connections,
         )
         async with anyio.create_task_group() as tasks:
             application = self._build_application(tasks)
@@ -218,19 +213,24 @@
             )
             tasks.start_soon(
                 PeerServer(
-                    self._settings.peer_address, self._record_cache, forwarded.handle
+                    self._settings.peer_address,
+                    self._record_cache,
+                    forwarded.handle,
+                    self._limits.peers,
                 ).run
             )
             tasks.start_soon(
                 serve_pages,
                 self._settings.ready_address,
                 {b"/ready": self._render_readiness_page},
+                self._limits.readiness,
                 self._clock,
             )
             tasks.start_soon(
                 serve_pages,
                 self._settings.metrics_address,
                 {b"/metrics": self._render_metrics_page},
+                self._limits.metrics,
                 self._clock,
             )
             tasks.start_soon(self._run_maintenance)
@@ -358,28 +358,18 @@
         host, port = split_address(self._settings.caller_address)
         listener = await open_client_listener(host, port, LISTEN_BACKLOG)
 
-        async def serve(stream: SocketStream) -> None:
-            with anyio.CancelScope() as scope:
-                slot = self._limiter.open_slot(scope)
-                try:
-                    connection = CallerConnection(
-                        stream,
-                        application,
-                        self._find_caller_limits,
-                        self._serving,
-                        slot,
-                        self._clock,
-                    )
-                    await connection.run()
-                finally:
-                    self._limiter.close_slot(slot)
-
-        await serve_listener(
-            listener,
-            serve,
-            self._limiter.wait_for_room,
-            self._limiter.observe_accept_error,
-        )
+        async def serve(stream: SocketStream, slot: ClientSlot) -> None:
+            connection = CallerConnection(
+                stream,
+                application,
+                self._find_caller_limits,
+                self._serving,
+                slot,
+                self._clock,
+            )
+            await connection.run()
+
+        await serve_listener(listener, serve, self._limits.callers)
 
     async def _handle_signals(self, scope: anyio.CancelScope) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
@@ -418,7 +408,7 @@
         while True:
             await anyio.sleep(MAINTENANCE_INTERVAL_SECONDS)
             await self._pool.close_expired()
-            self._limiter.log_events()
+            self._limits.log_events()
             slack = self._settings.bounds.retry_slack_requests * RETRY_SLACK_FRACTION
             self._retry_budget.set_max_saved_retries(
                 max(1.0, slack / self._members.fleet_size)
--- a/egrethall/entry/_forwarded_requests.py
+++ b/egrethall/entry/_forwarded_requests.py
@@ -230,7 +230,7 @@
     to another instance.
     """
     await lease.grow(MAX_PART_BYTES)
-    while part := await receive_frame(stream):
+    while part := await receive_frame(stream, MAX_PART_BYTES):
         if body.size_bytes + len(part) > MAX_BODY_BYTES:
             raise ValueError(f"body of more than {MAX_BODY_BYTES} bytes")
         body.append(part)
--- a/egrethall/entry/_metrics.py
+++ b/egrethall/entry/_metrics.py
@@ -6,7 +6,7 @@
 from itertools import accumulate
 from typing import TYPE_CHECKING
 
-from egrethall.entry._connection_limiter import ConnectionLimiter
+from egrethall.entry._client_limits import ClientLimits
 from egrethall.placement import CrashGuard, UpstreamPath, ZoneOverflow
 from egrethall.records import SourceStatus
 
@@ -47,13 +47,13 @@
         source_status: SourceStatus,
         path: UpstreamPath,
         crashes: CrashGuard,
-        limiter: ConnectionLimiter,
+        limits: ClientLimits,
         overflow: ZoneOverflow | None = None,
     ) -> None:
         self._source_status = source_status
         self._path = path
         self._crashes = crashes
-        self._limiter = limiter
+        self._limits = limits
         self._overflow = overflow
         #: Completed requests by service and outcome.
         self.requests: Counter[tuple[str, str]] = Counter()
@@ -139,7 +139,7 @@
             "Repetitions of such requests that were refused.",
             value=self._crashes.refused_count,
         )
-        yield from _collect_client_metrics(self._limiter)
+        yield from _collect_client_metrics(self._limits)
         if self._overflow is not None:
             yield from _collect_overflow_metrics(self._overflow)
         latencies = HistogramMetricFamily(
@@ -217,26 +217,29 @@
     )
 
 
-def _collect_client_metrics(limiter: ConnectionLimiter) -> Iterator["Metric"]:
+def _collect_client_metrics(limits: ClientLimits) -> Iterator["Metric"]:
     from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 
     limited = CounterMetricFamily(
         "egrethall_limited_clients",
         "Requests refused and connections closed for lack of room, by kind.",
-        labels=["kind"],
+        labels=["listener", "kind"],
     )
-    for kind, count in limiter.count_events().items():
-        limited.add_metric([kind], count)
+    for (listener, kind), count in limits.count_events().items():
+        limited.add_metric([listener, kind], count)
     yield limited
-    yield GaugeMetricFamily(
+    connections = GaugeMetricFamily(
         "egrethall_client_connections",
         "Open connections of clients.",
-        value=limiter.open_count,
+        labels=["listener"],
     )
+    for listener, limiter in limits.limiters.items():
+        connections.add_metric([listener], limiter.open_count)
+    yield connections
     yield GaugeMetricFamily(
         "egrethall_client_memory_bytes",
         "Memory reserved for connections, requests and responses.",
-        value=limiter.account.held_bytes,
+        value=limits.account.held_bytes,
     )
 
 
--- a/egrethall/entry/_page_server.py
+++ b/egrethall/entry/_page_server.py
@@ -7,10 +7,16 @@
 from anyio.abc import SocketStream
 
 from egrethall.configuration import split_address
+from egrethall.entry._connection_limiter import (
+    ClientSlot,
+    ConnectionLimiter,
+    ConnectionPhase,
+)
 from egrethall.http1 import (
     ConnectionLostError,
     RequestRejectedError,
     ServerConnection,
+    open_client_listener,
     serve_listener,
 )
 from egrethall.types import Clock
@@ -21,6 +27,9 @@
 #: Time after which a connection is closed, idle or not.
 MAX_CONNECTION_SECONDS = 10.0
 
+#: Maximum number of connections that the kernel queues before they are accepted.
+LISTEN_BACKLOG = 64
+
 #: Returns the status, content type and body of a page.
 PageRenderer = Callable[[], tuple[int, bytes, bytes]]
 
@@ -28,30 +37,35 @@
 
 
 async def serve_pages(
-    address: str, pages: Mapping[bytes, PageRenderer], clock: Clock
+    address: str,
+    pages: Mapping[bytes, PageRenderer],
+    limits: ConnectionLimiter,
+    clock: Clock,
 ) -> None:
     """Serves ``pages``, a mapping from path to renderer, until cancelled."""
     host, port = split_address(address)
-    listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
+    listener = await open_client_listener(host, port, LISTEN_BACKLOG)
 
-    async def serve(stream: SocketStream) -> None:
-        connection = ServerConnection(stream, MAX_HEAD_BYTES, clock)
+    async def serve(stream: SocketStream, slot: ClientSlot) -> None:
+        connection = ServerConnection(stream, MAX_HEAD_BYTES, clock, slot.observe_bytes)
         try:
             with anyio.move_on_after(MAX_CONNECTION_SECONDS):
                 while await connection.wait_for_request():
-                    await _respond(connection, pages)
+                    slot.enter(ConnectionPhase.HEAD)
+                    await _respond(connection, pages, slot)
                     if not connection.reusable:
                         break
+                    slot.enter(ConnectionPhase.IDLE)
         except (ConnectionLostError, RequestRejectedError) as error:
             logger.debug("page not served", address=address, error=str(error))
         finally:
             await connection.close()
 
-    await serve_listener(listener, serve)
+    await serve_listener(listener, serve, limits)
 
 
 async def _respond(
-    connection: ServerConnection, pages: Mapping[bytes, PageRenderer]
+    connection: ServerConnection, pages: Mapping[bytes, PageRenderer], slot: ClientSlot
 ) -> None:
     head = await connection.receive_head()
     await connection.receive_body(MAX_HEAD_BYTES)
@@ -64,4 +78,5 @@
         (b"content-type", content_type),
         (b"content-length", str(len(body)).encode("ascii")),
     )
+    slot.enter(ConnectionPhase.SENDING)
     await connection.send_response(status, headers, body)
--- a/egrethall/entry/_process_limits.py
+++ b/egrethall/entry/_process_limits.py
@@ -30,6 +30,10 @@
 
 MIN_CLIENT_CONNECTIONS = 16
 
+#: Part of them for streams from other instances, which read records and forward
+#: requests. The rest is for connections to upstreams, other instances and the store.
+PEER_DESCRIPTORS_RATIO = 0.2
+
 #: Bounds of the settings.
 MIN_MEMORY_MB = 64
 MAX_MEMORY_MB = 1_000_000
@@ -80,13 +84,20 @@
         return max(MIN_CLIENT_MEMORY_BYTES, usable_bytes)
 
     def find_max_client_connections(self) -> int:
-        """Returns the number of connections that clients may have open."""
+        """Returns the number of connections that callers may have open."""
+        return self._share_descriptors(CLIENT_DESCRIPTORS_RATIO)
+
+    def find_max_peer_connections(self) -> int:
+        """Returns the number of streams that other instances may have open."""
+        return self._share_descriptors(PEER_DESCRIPTORS_RATIO)
+
+    def _share_descriptors(self, ratio: float) -> int:
         descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
         if descriptors == resource.RLIM_INFINITY:
             descriptors = MAX_DESCRIPTORS
         if self.max_descriptors is not None:
             descriptors = min(descriptors, self.max_descriptors)
-        usable = int((descriptors - RESERVED_FILES) * CLIENT_DESCRIPTORS_RATIO)
+        usable = int((descriptors - RESERVED_FILES) * ratio)
         return max(MIN_CLIENT_CONNECTIONS, usable)
 
 
--- a/egrethall/entry/tests/steps/memory_account_steps.py
+++ b/egrethall/entry/tests/steps/memory_account_steps.py
@@ -21,6 +21,7 @@
         self.limiter = ConnectionLimiter(
             connections, self.account, self.clock, ProgressLimits()
         )
+        self.account.make_room = self.limiter.make_room
         self.slots = []
 
     async def try_wait(self, lease, size_bytes):
--- a/egrethall/entry/tests/steps/zone_overflow_steps.py
+++ b/egrethall/entry/tests/steps/zone_overflow_steps.py
@@ -6,10 +6,9 @@
 from behave import given, then, when
 from structlog.testing import capture_logs
 
-from egrethall.entry._connection_limiter import ConnectionLimiter
-from egrethall.entry._memory_account import MemoryAccount
+from egrethall.entry._client_limits import ClientLimits
 from egrethall.entry._metrics import RequestMetrics
-from egrethall.entry._process_limits import ProgressLimits
+from egrethall.entry._process_limits import ProcessLimits
 from egrethall.entry._settings import DEFAULT_MAX_BYTE_RATIO
 from egrethall.entry.tests.zone_fleet import SERVICE, WAVE_SECONDS, ZoneFleet
 from egrethall.placement import CrashGuard, UpstreamPath, ZoneOverflow
@@ -256,9 +255,9 @@
 def step_impl(context, count, size, share):
     clock, overflow = context.zones.clock, context.zones.overflow
     path = UpstreamPath(lambda: 0, clock)
-    limiter = ConnectionLimiter(8, MemoryAccount(2**20), clock, ProgressLimits())
+    limits = ClientLimits(ProcessLimits(), clock)
     metrics = RequestMetrics(
-        SourceStatus(clock), path, CrashGuard(clock), limiter, overflow
+        SourceStatus(clock), path, CrashGuard(clock), limits, overflow
     )
     text = metrics.render().decode()
     for name, value in (
--- a/egrethall/fleet/_frames.py
+++ b/egrethall/fleet/_frames.py
@@ -15,16 +15,20 @@
     await stream.send(_LENGTH_PREFIX.pack(len(message)) + message)
 
 
-async def receive_frame(stream: SocketStream) -> bytes:
+async def receive_frame(
+    stream: SocketStream, max_bytes: int = MAX_MESSAGE_BYTES
+) -> bytes:
     """Returns the next message; raises :class:`ValueError` if it is too long."""
-    return await receive_exactly(stream, await receive_length(stream))
+    return await receive_exactly(stream, await receive_length(stream, max_bytes))
 
 
-async def receive_length(stream: SocketStream) -> int:
+async def receive_length(
+    stream: SocketStream, max_bytes: int = MAX_MESSAGE_BYTES
+) -> int:
     """Returns the length of the next message; :class:`ValueError` if it is too long."""
     prefix = await receive_exactly(stream, _LENGTH_PREFIX.size)
     length: int = _LENGTH_PREFIX.unpack(prefix)[0]
-    if length > MAX_MESSAGE_BYTES:
+    if length > max_bytes:
         raise ValueError(f"message of {length} bytes exceeds the limit")
     return length
 
--- a/egrethall/fleet/tests/steps/member_steps.py
+++ b/egrethall/fleet/tests/steps/member_steps.py
@@ -28,6 +28,7 @@
     read_records_from_peer,
 )
 from egrethall.fleet._record_exchange import encode_records
+from egrethall.fleet.tests.unlimited_streams import UnlimitedStreams
 from egrethall.http1 import ConnectError
 from egrethall.records import RecordCache
 from egrethall.types import (
@@ -509,7 +510,8 @@
     records = tuple(Record(f"servers/{n}", n + 1, value % n) for n in range(count))
     context.cache.apply(RecordBatch(count, records, whole=True))
     context.value_bytes = sum(len(record.value) for record in records)
-    serve_records(context, PeerServer(context.address, context.cache, None).run)
+    server = PeerServer(context.address, context.cache, None, UnlimitedStreams())
+    serve_records(context, server.run)
 
 
 @given("an instance that serves records that are {fault}")
--- a/egrethall/http1/__init__.py
+++ b/egrethall/http1/__init__.py
@@ -7,7 +7,11 @@
     ConnectionLostError,
     HttpConnectionError,
 )
-from egrethall.http1._listeners import open_client_listener, serve_listener
+from egrethall.http1._listeners import (
+    ConnectionLimits,
+    open_client_listener,
+    serve_listener,
+)
 from egrethall.http1._server import RequestHead, RequestRejectedError, ServerConnection
 from egrethall.http1._sockets import (
     IDLE_READ_BYTES,
@@ -22,6 +26,7 @@
     "BodyBuffer",
     "ClientConnection",
     "ConnectError",
+    "ConnectionLimits",
     "ConnectionLostError",
     "HttpConnectionError",
     "RequestHead",
