Keep descriptors of egrethall serve for others than silent callers

What callers saw: with 600 silent connections that came back whenever they were closed, an instance with 300 descriptors had all of them open. An ordinary caller's connection was reset for 26 s in one trial and for all of 40 s in another. Cause: nothing bounds the connections of callers, so that accepting fails (EMFILE). Change: a registry keeps them within half of the descriptors beyond 100, counts the requests that run on each, and closes the one that is idle for longest for a new one.

--- a/egrethall/ingress/_connection_server.py
+++ b/egrethall/ingress/_connection_server.py
@@ -8,15 +8,23 @@
 import asyncio
 import socket
 from collections.abc import Awaitable, Callable
-from typing import cast
+from typing import Any, cast
 
 import structlog
 from hypercorn.asyncio.tcp_server import TCPServer
 from hypercorn.asyncio.worker_context import WorkerContext
 from hypercorn.config import Config
-from hypercorn.typing import ASGIFramework
+from hypercorn.typing import (
+    AppWrapper,
+    ASGIFramework,
+    ASGIReceiveCallable,
+    ASGISendCallable,
+    Scope,
+)
 from hypercorn.utils import wrap_app
 
+from egrethall.ingress._connection_registry import CallerSlot, ConnectionRegistry
+
 _logger = structlog.get_logger("egrethall.ingress")
 
 #: Bytes that are taken from the kernel and parsed at once. Between socket and
@@ -81,6 +89,29 @@
         return self._streams.eof_received()
 
 
+class _CountedApplication:
+    """Tells the slot of a connection which requests are handled."""
+
+    def __init__(self, application: AppWrapper, slot: CallerSlot) -> None:
+        self._application = application
+        self._slot = slot
+
+    async def __call__(
+        self,
+        scope: Scope,
+        receive: ASGIReceiveCallable,
+        send: ASGISendCallable,
+        sync_spawn: Callable[..., Any],
+        call_soon: Callable[..., Any],
+    ) -> None:
+        """Handles one request."""
+        self._slot.begin_request()
+        try:
+            await self._application(scope, receive, send, sync_spawn, call_soon)
+        finally:
+            self._slot.end_request()
+
+
 async def serve_connections(
     application: ASGIFramework,
     config: Config,
@@ -95,6 +126,7 @@
     context = WorkerContext(None)
     wrapped = wrap_app(application, config.wsgi_max_body_size, "asgi")
     connections: set[asyncio.Task[None]] = set()
+    registry = ConnectionRegistry()
 
     async def run_connection(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -102,11 +134,23 @@
         task = cast("asyncio.Task[None]", asyncio.current_task())
         connections.add(task)
         task.add_done_callback(connections.discard)
+
+        def close() -> None:
+            writer.transport.abort()
+            task.cancel()
+
+        slot = registry.open_slot(close)
+        if slot is None:
+            writer.transport.abort()
+            return
+        counted = _CountedApplication(wrapped, slot)
         try:
-            await TCPServer(wrapped, loop, config, context, {}, reader, writer)
+            await TCPServer(counted, loop, config, context, {}, reader, writer)
         except OSError as error:
             # Hypercorn itself reports an error while it closes only by raising it.
             _logger.debug("caller_connection_lost", error=str(error))
+        finally:
+            registry.close_slot(slot)
 
     server = await loop.create_server(
         lambda: _PieceProtocol(run_connection),
--- a/standins/client_crowd.py
+++ b/standins/client_crowd.py
@@ -38,6 +38,9 @@
 SLOW_READ_BYTES = 1024
 SLOW_READ_PAUSE_SECONDS = 0.1
 
+#: Time after which a disconnected client connects anew, if it does.
+RECONNECT_PAUSE_SECONDS = 0.1
+
 #: Connections that a crowd opens at the same time.
 CONNECTING_CLIENTS = 200
 
@@ -237,7 +240,9 @@
 class ClientCrowd:
     """Clients that act at the same time and stay connected until it is closed."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, reconnects: bool = False) -> None:
+        """:param reconnects: whether disconnected clients connect anew."""
+        self._reconnects = reconnects
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
         self._thread.start()
@@ -281,6 +286,19 @@
     async def _run_client(
         self, client: Client, port: int, connecting: asyncio.Semaphore
     ) -> None:
+        connection = await self._connect_client(client, port, connecting)
+        while self._reconnects:
+            with contextlib.suppress(OSError):
+                while await self._loop.sock_recv(connection, SLOW_READ_BYTES):
+                    pass
+            self._connections.remove(connection)
+            connection.close()
+            await asyncio.sleep(RECONNECT_PAUSE_SECONDS)
+            connection = await self._connect_client(client, port, connecting)
+
+    async def _connect_client(
+        self, client: Client, port: int, connecting: asyncio.Semaphore
+    ) -> socket.socket:
         connection = socket.socket()
         self._connections.append(connection)
         connection.setblocking(False)
@@ -290,6 +308,7 @@
             async with connecting:
                 await self._loop.sock_connect(connection, (HOST, port))
             await client.act(connection)
+        return connection
 
     async def _close(self) -> None:
         for task in self._tasks:
